--- /dev/null
+++ b/auburnway/__init__.py
@@ -0,0 +1,1 @@
+"""auburnway: a query tier between callers and many shards."""
--- /dev/null
+++ b/auburnway/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command."""
--- /dev/null
+++ b/auburnway/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: the replicated log and its service."""
--- /dev/null
+++ b/auburnway/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plain immutable records and pure functions over them."""
--- /dev/null
+++ b/auburnway/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers on one side, shards on the other."""
--- /dev/null
+++ b/auburnway/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-in registry, timers, settings, logs and metrics."""
--- /dev/null
+++ b/auburnway/kernel/registry.py
@@ -0,0 +1,64 @@
+"""Registry of plug-ins: modules register themselves by kind and name.
+
+A plug-in module calls `register` when it is imported, so a settings value or
+a release note can choose it by name. `load` imports the plug-in modules of a
+package.
+"""
+
+from collections import abc
+import importlib
+import pkgutil
+import typing
+
+_plugins: dict[tuple[str, str], abc.Callable[..., typing.Any]] = {}
+
+
+def register(kind: str, name: str) -> abc.Callable[[typing.Any], typing.Any]:
+    """Returns a decorator that registers a class or function.
+
+    Args:
+      kind: Decision that the plug-in makes, such as `replica_choice`.
+      name: Name by which settings and release notes choose it.
+
+    Raises:
+      ValueError: Another plug-in already has this kind and name.
+    """
+
+    def add(factory):
+        present = _plugins.get((kind, name))
+        if present is not None and present.__module__ != factory.__module__:
+            raise ValueError(f"plug-in {kind}/{name} is registered twice")
+        _plugins[(kind, name)] = factory
+        return factory
+
+    return add
+
+
+def get(kind: str, name: str) -> abc.Callable[..., typing.Any]:
+    """Returns the plug-in of this kind and name.
+
+    Raises:
+      KeyError: No such plug-in; the message lists the known names.
+    """
+    try:
+        return _plugins[(kind, name)]
+    except KeyError:
+        known = ", ".join(names(kind)) or "none"
+        raise KeyError(f"no {kind} named {name!r}; known: {known}") from None
+
+
+def names(kind: str) -> tuple[str, ...]:
+    """Returns the registered names of one kind, sorted."""
+    return tuple(sorted(n for k, n in _plugins if k == kind))
+
+
+def load(package_name: str) -> None:
+    """Imports all modules of a package, so that they register themselves.
+
+    Args:
+      package_name: Dotted name of the package; test modules are skipped.
+    """
+    package = importlib.import_module(package_name)
+    for module in pkgutil.iter_modules(package.__path__):
+        if not module.name.endswith("_test"):
+            importlib.import_module(f"{package_name}.{module.name}")
--- /dev/null
+++ b/auburnway/load/__init__.py
@@ -0,0 +1,1 @@
+"""The open-loop load tool."""
--- /dev/null
+++ b/auburnway/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets towards backend servers and between entries."""
--- /dev/null
+++ b/auburnway/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decision modules, registered by name with the kernel."""
--- /dev/null
+++ b/auburnway/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC definitions and the client for the control service."""
--- /dev/null
+++ b/auburnway/standin/__init__.py
@@ -0,0 +1,1 @@
+"""A fake backend server for tests and the demonstration."""
--- /dev/null
+++ b/auburnway/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable files: disk interface, write-ahead log, snapshots."""
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,8 @@
+"""Test settings: Hypothesis gives the same verdict on each run."""
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, print_blob=False
+)
+hypothesis.settings.load_profile("ci")
