--- /dev/null
+++ b/auburnway/net/http_client.py
@@ -0,0 +1,488 @@
+"""Kept HTTP/1.1 connections to backend servers, on the circuits poller.
+
+A query costs one exchange per shard, so the cost of an exchange decides how
+many queries a core serves. One circuits event is fired per readable socket;
+receiving, parsing (httptools) and completing the exchange happen inside it.
+
+A connection carries one exchange at a time and the reply is bound to it. An
+exchange that was abandoned keeps its connection out of use until the late
+reply has been read or the connection is closed, so that no reply can be taken
+for that of another request.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import enum
+import errno
+import socket
+
+import circuits
+from circuits import core
+import httptools
+
+from auburnway.core import clock as clock_lib
+from auburnway.kernel import timers as timers_lib
+
+RECEIVE_BYTES = 65536
+# A new connection that is not established by then is given up.
+CONNECT_TIMEOUT_MS = 500.0
+# How long the late reply of an abandoned exchange is waited for.
+DRAIN_TIMEOUT_MS = 1000.0
+# An idle connection is probed this often and closed without an answer: a
+# middlebox may have forgotten it while new connections work.
+PING_PERIOD_MS = 1000.0
+PING_TIMEOUT_MS = 500.0
+# The kernel gives up unacknowledged data after this time.
+TCP_USER_TIMEOUT_MS = 2000
+
+_PING = b"GET /v1/ping HTTP/1.1\r\nhost: backend\r\n\r\n"
+
+
+class Failure(enum.Enum):
+    """Why an exchange has no reply."""
+
+    # No connection is free and the limit is reached; nothing was sent.
+    NO_CONNECTION = "no_connection"
+    # The connection could not be established; nothing was sent.
+    CONNECT_FAILED = "connect_failed"
+    # The connection was lost after sending started.
+    CONNECTION_LOST = "connection_lost"
+    # The reply is not HTTP.
+    PROTOCOL = "protocol"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """End of an exchange.
+
+    Attributes:
+      status: HTTP status; 0 without a reply.
+      headers: Header values by lower-case name.
+      body: Body of the reply.
+      failure: None with a reply.
+      reached: False only when no byte of the request can have reached the
+        backend server.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    failure: Failure | None
+    reached: bool
+
+
+OnReply = abc.Callable[[Reply], None]
+
+
+class _State(enum.Enum):
+    CONNECTING = 0
+    IDLE = 1
+    BUSY = 2
+    ABANDONED = 3
+    PINGING = 4
+    CLOSED = 5
+
+
+class Exchange:
+    """Handle of one request; `abandon` gives up its reply."""
+
+    __slots__ = ("connection", "on_reply", "payload", "sent", "started_ms")
+
+    def __init__(self, payload: bytes, on_reply: OnReply, started_ms: float):
+        self.connection: _Connection | None = None
+        self.on_reply: OnReply | None = on_reply
+        self.payload = payload
+        self.sent = False
+        self.started_ms = started_ms
+
+    def abandon(self) -> bool:
+        """Gives up the reply; the completion function is not called.
+
+        Returns:
+          True when the request can have reached the backend server.
+        """
+        self.on_reply = None
+        if self.connection is not None:
+            self.connection.abandon(self)
+        return self.sent
+
+    def finish(self, reply: Reply) -> None:
+        """Calls the completion function once."""
+        on_reply, self.on_reply = self.on_reply, None
+        if on_reply is not None:
+            on_reply(reply)
+
+
+class _Connection:
+    """One socket with its parser; also the parser's callback target."""
+
+    def __init__(self, pool: "HttpPool", address: str):
+        self.pool = pool
+        self.address = address
+        self.state = _State.CONNECTING
+        self.exchange: Exchange | None = None
+        self.last_reply_ms = 0.0
+        self.timer: timers_lib.Timer | None = None
+        self._unsent = b""
+        self._reset_reply()
+        host, _, port = address.rpartition(":")
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        self.connect_error = self.sock.connect_ex((host, int(port)))
+
+    def _reset_reply(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._complete = False
+
+    # Callbacks of httptools.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._complete = True
+
+    # Sending.
+
+    def start(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        exchange.connection = self
+        if self.state is _State.IDLE:
+            self.state = _State.BUSY
+            self._send(exchange)
+
+    def established(self) -> None:
+        self.state = _State.IDLE
+        self.last_reply_ms = self.pool.clock.now_ms()
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.exchange is not None:
+            self.state = _State.BUSY
+            self._send(self.exchange)
+        else:
+            self.pool.release(self)
+
+    def _send(self, exchange: Exchange) -> None:
+        exchange.sent = True
+        self.write(exchange.payload)
+
+    def write(self, data: bytes) -> None:
+        try:
+            count = self.sock.send(data)
+        except BlockingIOError:
+            count = 0
+        except OSError:
+            self.close(Failure.CONNECTION_LOST)
+            return
+        if count < len(data):
+            self._unsent = data[count:]
+            self.pool.poller.addWriter(self.pool, self.sock)
+
+    def writable(self) -> None:
+        self.pool.poller.removeWriter(self.sock)
+        data, self._unsent = self._unsent, b""
+        if data:
+            self.write(data)
+
+    # Receiving.
+
+    def readable(self) -> None:
+        try:
+            data = self.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.close(Failure.CONNECTION_LOST)
+            return
+        if self.state is _State.IDLE:
+            # Bytes that no request asked for belong to nobody.
+            self.close(Failure.PROTOCOL)
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.close(Failure.PROTOCOL)
+            return
+        if self._complete:
+            self._finish_reply()
+
+    def _finish_reply(self) -> None:
+        reply = Reply(
+            self._parser.get_status_code(),
+            self._headers,
+            b"".join(self._body),
+            None,
+            True,
+        )
+        keep = self._parser.should_keep_alive()
+        exchange, self.exchange = self.exchange, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self._reset_reply()
+        self.state = _State.IDLE
+        self.last_reply_ms = self.pool.clock.now_ms()
+        if keep:
+            self.pool.release(self)
+        else:
+            self.close(Failure.CONNECTION_LOST)
+        if exchange is not None:
+            exchange.finish(reply)
+
+    # Ending.
+
+    def abandon(self, exchange: Exchange) -> None:
+        if self.exchange is not exchange:
+            return
+        self.exchange = None
+        if self.state is _State.BUSY:
+            self.state = _State.ABANDONED
+            self.timer = self.pool.timers.after(
+                DRAIN_TIMEOUT_MS, lambda: self.close(Failure.CONNECTION_LOST)
+            )
+
+    def ping(self) -> None:
+        self.state = _State.PINGING
+        self.timer = self.pool.timers.after(
+            PING_TIMEOUT_MS, lambda: self.close(Failure.CONNECTION_LOST)
+        )
+        self.write(_PING)
+
+    def close(self, failure: Failure) -> None:
+        if self.state is _State.CLOSED:
+            return
+        exchange, self.exchange = self.exchange, None
+        self.state = _State.CLOSED
+        if self.timer is not None:
+            self.timer.cancel()
+        self.pool.forget(self)
+        self.sock.close()
+        if exchange is not None:
+            reached = exchange.sent
+            exchange.finish(Reply(0, {}, b"", failure, reached))
+
+
+class _Server:
+    """Connections to one backend server."""
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.all: set[_Connection] = set()
+        self.idle: collections.deque[_Connection] = collections.deque()
+
+
+class HttpPool(circuits.BaseComponent):
+    """Owns all connections to backend servers."""
+
+    channel = "backend"
+
+    def __init__(
+        self,
+        poller,
+        timers: timers_lib.TimerQueue,
+        clock: clock_lib.Clock,
+    ):
+        super().__init__()
+        self.poller = poller
+        self.timers = timers
+        self.clock = clock
+        self._servers: dict[str, _Server] = {}
+        self._by_socket: dict[socket.socket, _Connection] = {}
+        self._ping_timer = timers.every(PING_PERIOD_MS, self._ping_idle)
+
+    def set_server(self, address: str, limit: int, warm: int) -> None:
+        """Adds a backend server or changes its limit.
+
+        Args:
+          address: `ip:port`.
+          limit: Greatest number of connections from this process.
+          warm: Connections opened ahead of traffic, because a new one costs
+            up to 6 ms.
+        """
+        server = self._servers.get(address)
+        if server is None:
+            server = self._servers[address] = _Server(limit)
+        server.limit = limit
+        for _ in range(min(warm, limit) - len(server.all)):
+            self._open(address, server)
+
+    def remove_server(self, address: str) -> None:
+        """Closes idle connections; those in use end with their exchange."""
+        server = self._servers.get(address)
+        if server is None:
+            return
+        server.limit = 0
+        for connection in tuple(server.idle):
+            connection.close(Failure.CONNECTION_LOST)
+        if not server.all:
+            del self._servers[address]
+
+    def send(
+        self,
+        address: str,
+        payload: bytes,
+        on_reply: OnReply,
+        max_silence_ms: float | None = None,
+    ) -> Exchange:
+        """Starts an exchange.
+
+        Args:
+          address: Backend server, `ip:port`.
+          payload: Whole HTTP request.
+          on_reply: Called once on the loop with the reply or failure; it may
+            be called before this function returns.
+          max_silence_ms: Use only a connection whose last round trip is at
+            most this old, or a new one.
+
+        Returns:
+          The handle with which the reply can be abandoned.
+        """
+        now_ms = self.clock.now_ms()
+        exchange = Exchange(payload, on_reply, now_ms)
+        server = self._servers.get(address)
+        if server is None:
+            server = self._servers[address] = _Server(1)
+        connection = self._take_idle(server, now_ms, max_silence_ms)
+        if connection is None and len(server.all) < server.limit:
+            connection = self._open(address, server, exchange)
+            if connection is None:
+                exchange.finish(
+                    Reply(0, {}, b"", Failure.CONNECT_FAILED, False)
+                )
+            return exchange
+        if connection is None:
+            exchange.finish(Reply(0, {}, b"", Failure.NO_CONNECTION, False))
+            return exchange
+        connection.start(exchange)
+        return exchange
+
+    def has_capacity(self, address: str) -> bool:
+        """Whether `send` would find or open a connection now."""
+        server = self._servers.get(address)
+        if server is None:
+            return False
+        return bool(server.idle) or len(server.all) < server.limit
+
+    def connection_count(self, address: str) -> int:
+        """Returns the number of open connections to a backend server."""
+        server = self._servers.get(address)
+        return len(server.all) if server is not None else 0
+
+    def close_all(self) -> None:
+        """Closes every connection."""
+        self._ping_timer.cancel()
+        for connection in tuple(self._by_socket.values()):
+            connection.close(Failure.CONNECTION_LOST)
+
+    # Called by connections.
+
+    def release(self, connection: _Connection) -> None:
+        """Takes back a connection whose exchange has ended."""
+        server = self._servers[connection.address]
+        if len(server.all) > server.limit:
+            connection.close(Failure.CONNECTION_LOST)
+        else:
+            server.idle.append(connection)
+
+    def forget(self, connection: _Connection) -> None:
+        """Drops a connection that is about to be closed."""
+        self._by_socket.pop(connection.sock, None)
+        self.poller.discard(connection.sock)
+        server = self._servers.get(connection.address)
+        if server is None:
+            return
+        server.all.discard(connection)
+        if connection in server.idle:
+            server.idle.remove(connection)
+        if not server.all and server.limit == 0:
+            del self._servers[connection.address]
+
+    def _take_idle(
+        self, server: _Server, now_ms: float, max_silence_ms: float | None
+    ) -> _Connection | None:
+        # The connection used last is the one most surely alive.
+        if not server.idle:
+            return None
+        newest = server.idle[-1]
+        if (
+            max_silence_ms is not None
+            and now_ms - newest.last_reply_ms > max_silence_ms
+        ):
+            # Make room, so that a new connection can be opened instead.
+            if len(server.all) >= server.limit:
+                server.idle[0].close(Failure.CONNECTION_LOST)
+            return None
+        return server.idle.pop()
+
+    def _open(
+        self, address: str, server: _Server, exchange: Exchange | None = None
+    ) -> _Connection | None:
+        connection = _Connection(self, address)
+        if connection.connect_error not in (0, errno.EINPROGRESS):
+            connection.sock.close()
+            return None
+        server.all.add(connection)
+        self._by_socket[connection.sock] = connection
+        if exchange is not None:
+            connection.start(exchange)
+        connection.timer = self.timers.after(
+            CONNECT_TIMEOUT_MS,
+            lambda: connection.close(Failure.CONNECT_FAILED),
+        )
+        self.poller.addWriter(self, connection.sock)
+        return connection
+
+    def _ping_idle(self) -> None:
+        now_ms = self.clock.now_ms()
+        for server in tuple(self._servers.values()):
+            silent = [
+                connection
+                for connection in server.idle
+                if now_ms - connection.last_reply_ms >= PING_PERIOD_MS / 2
+            ]
+            for connection in silent:
+                server.idle.remove(connection)
+                connection.ping()
+
+    @core.handler("_read")
+    def _on_read(self, sock):
+        connection = self._by_socket.get(sock)
+        if connection is not None:
+            connection.readable()
+
+    @core.handler("_write")
+    def _on_write(self, sock):
+        connection = self._by_socket.get(sock)
+        if connection is None:
+            return
+        if connection.state is not _State.CONNECTING:
+            connection.writable()
+            return
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            connection.close(Failure.CONNECT_FAILED)
+            return
+        self.poller.removeWriter(sock)
+        self.poller.addReader(self, sock)
+        connection.established()
+
+    @core.handler("_disconnect", "_error")
+    def _on_disconnect(self, sock, *_):
+        connection = self._by_socket.get(sock)
+        if connection is None:
+            return
+        if connection.state is _State.CONNECTING:
+            connection.close(Failure.CONNECT_FAILED)
+        else:
+            connection.close(Failure.CONNECTION_LOST)
