--- /dev/null
+++ b/auburnway/core/answer.py
@@ -0,0 +1,139 @@
+"""Answers to callers: done, not run or unknown."""
+
+import dataclasses
+import functools
+import json
+import typing
+
+from auburnway.core import errors
+from auburnway.core import request as request_lib
+from auburnway.core import snapshot as snapshot_lib
+
+
+@dataclasses.dataclass(frozen=True)
+class Done:
+    """The request ran and this is its result.
+
+    Attributes:
+      request: The request answered.
+      configuration_number: Release note in force when it was served.
+      snapshot: Version of the index that all records come from.
+      coverage: How much of that snapshot is covered.
+      records: The records found.
+    """
+
+    request: request_lib.Request
+    configuration_number: int
+    snapshot: int
+    coverage: snapshot_lib.Coverage
+    records: tuple[typing.Any, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Recorded:
+    """The recorded answer of an earlier attempt with the same key.
+
+    Attributes:
+      request_id: The request answered now.
+      body: The answer as it was sent first; empty when it was too large.
+    """
+
+    request_id: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRun:
+    """The request did not run and will not."""
+
+    request_id: str
+    error: errors.Error
+    retry_after_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Unknown:
+    """It is not known whether the request ran; it never runs again."""
+
+    request_id: str
+    error: errors.Error
+
+
+Answer = Done | Recorded | NotRun | Unknown
+
+
+@dataclasses.dataclass(frozen=True)
+class Rendered:
+    """An answer as HTTP."""
+
+    status: int
+    body: bytes
+    retry_after_ms: float | None = None
+    content_type: str = "application/json"
+
+
+@functools.singledispatch
+def render(answer: Answer) -> Rendered:
+    """Returns the HTTP form of an answer."""
+    raise TypeError(f"{type(answer).__name__} is no answer")
+
+
+@render.register
+def _(answer: Done) -> Rendered:
+    request = answer.request
+    coverage = answer.coverage
+    body = {
+        "outcome": "done",
+        "request_id": request.request_id,
+        "caller": request.caller.name,
+        "kind": request.kind.name,
+        "rank": request.rank.name,
+        "configuration_number": answer.configuration_number,
+        "snapshot": answer.snapshot,
+        "coverage": {
+            "covered_weight": coverage.covered_weight,
+            "total_weight": coverage.total_weight,
+            "share": coverage.share,
+            "missing_shards": coverage.missing_shards,
+        },
+        "records": answer.records,
+    }
+    return Rendered(200, json.dumps(body).encode())
+
+
+@render.register
+def _(answer: Recorded) -> Rendered:
+    if answer.body:
+        return Rendered(200, answer.body)
+    body = {
+        "outcome": "done",
+        "request_id": answer.request_id,
+        "note": "the recorded answer was too large to keep",
+    }
+    return Rendered(200, json.dumps(body).encode())
+
+
+@render.register
+def _(answer: NotRun) -> Rendered:
+    body = {
+        "outcome": "not_run",
+        "request_id": answer.request_id,
+        "error": answer.error.as_dict(),
+    }
+    if answer.retry_after_ms is not None:
+        body["retry_after_ms"] = answer.retry_after_ms
+    return Rendered(
+        answer.error.http_status,
+        json.dumps(body).encode(),
+        answer.retry_after_ms,
+    )
+
+
+@render.register
+def _(answer: Unknown) -> Rendered:
+    body = {
+        "outcome": "unknown",
+        "request_id": answer.request_id,
+        "error": answer.error.as_dict(),
+    }
+    return Rendered(answer.error.http_status, json.dumps(body).encode())
--- a/auburnway/core/membership.py
+++ b/auburnway/core/membership.py
@@ -127,6 +127,7 @@
         self._lease_ms = lease_ms
         self._rows: dict[str, Row] = {}
         self._renewed_ms: dict[str, float] = {}
+        self._drained: frozenset[str] = frozenset()
         self._replicas: dict[tuple[str, int, int], tuple[Row, ...]] = {}
         self._manifests: dict[str, tuple[snapshot_lib.Manifest, ...]] = {}
 
@@ -177,6 +178,11 @@
         self._set(dataclasses.replace(row, state=state))
         return True
 
+    def set_drained(self, names: abc.Collection[str]) -> None:
+        """Sets the backend servers that operators have drained."""
+        self._drained = frozenset(names)
+        self._index()
+
     def expire(self, now_ms: float) -> tuple[Row, ...]:
         """Ends leases that have run out.
 
@@ -224,7 +230,7 @@
         return tuple(
             row
             for row in self._rows.values()
-            if row.application == application and _usable(row)
+            if row.application == application and self._usable(row)
         )
 
     def manifests(self, application: str) -> tuple[snapshot_lib.Manifest, ...]:
@@ -233,12 +239,15 @@
 
     def _set(self, row: Row) -> None:
         self._rows[row.name] = row
+        self._index()
+
+    def _index(self) -> None:
         # Changes are rare and look-ups happen per sub-request, so the
         # indexes are rebuilt here.
         replicas: dict[tuple[str, int, int], list[Row]] = {}
         manifests: dict[str, dict[int, snapshot_lib.Manifest]] = {}
         for other in self._rows.values():
-            if not _usable(other):
+            if not self._usable(other):
                 continue
             for holding in other.holdings:
                 key = (other.application, holding.snapshot, holding.shard)
@@ -252,6 +261,8 @@
             for application, known in manifests.items()
         }
 
-
-def _usable(row: Row) -> bool:
-    return row.state in (State.SERVING, State.SUSPECT)
+    def _usable(self, row: Row) -> bool:
+        return (
+            row.state in (State.SERVING, State.SUSPECT)
+            and row.name not in self._drained
+        )
--- /dev/null
+++ b/auburnway/core/request.py
@@ -0,0 +1,132 @@
+"""A caller's request, checked against the configuration in force."""
+
+import dataclasses
+import json
+import typing
+
+from returns import result
+
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+
+# A key from further in the future shows a wrong clock; claims could not be
+# pruned in order.
+MAX_KEY_SKEW_MS = 300_000
+MAX_NAME_BYTES = 128
+MAX_NONCE_BYTES = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request that may be admitted.
+
+    Attributes:
+      request_id: Identity on this entry, sent to backend servers.
+      caller: Who sent it.
+      kind: What it asks for.
+      rank: Rank that it is admitted under.
+      deadline_at_ms: Instant on the entry's monotonic clock.
+      query_json: The query as canonical JSON.
+      idempotency_key: Empty for repeatable kinds.
+    """
+
+    request_id: str
+    caller: configuration_lib.Caller
+    kind: configuration_lib.Kind
+    rank: configuration_lib.Rank
+    deadline_at_ms: float
+    query_json: bytes
+    idempotency_key: str
+
+
+def parse(
+    body: bytes,
+    configuration: configuration_lib.Configuration,
+    request_id: str,
+    now_ms: float,
+    wall_ms: int,
+) -> result.Result[Request, errors.Error]:
+    """Checks a caller's request.
+
+    Args:
+      body: JSON as described in the design page, section 4.1.
+      configuration: Configuration in force.
+      request_id: Identity given by this entry.
+      now_ms: Monotonic instant.
+      wall_ms: Wall-clock instant, against which the key is checked.
+
+    Returns:
+      The request, or the first error found.
+    """
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return _bad(f"the body is not JSON: {error}", request_id)
+    if not isinstance(data, dict):
+        return _bad("the body is not a JSON object", request_id)
+    for name in ("caller", "kind"):
+        if not _is_name(data.get(name)):
+            return _bad(f"{name} is missing or not a name", request_id)
+    if not isinstance(data.get("query"), dict):
+        return _bad("query is missing or not an object", request_id)
+    caller = configuration.find("caller", data["caller"])
+    if caller is None:
+        return result.Failure(errors.UnknownCaller(data["caller"], request_id))
+    kind = configuration.find("kind", data["kind"])
+    if kind is None:
+        return result.Failure(errors.UnknownKind(data["kind"], request_id))
+    time_left_ms = data.get("deadline_ms", kind.deadline_ms)
+    if isinstance(time_left_ms, bool) or not isinstance(
+        time_left_ms, int | float
+    ):
+        return _bad("deadline_ms is not a number", request_id)
+    if not time_left_ms > 0:
+        detail = f"deadline_ms {time_left_ms} is in the past"
+        return _bad(detail, request_id)
+    key_error = _check_key(kind, data.get("idempotency_key"), wall_ms)
+    if key_error:
+        return result.Failure(errors.BadKey(key_error, request_id))
+    return result.Success(
+        Request(
+            request_id=request_id,
+            caller=caller,
+            kind=kind,
+            rank=configuration.find("rank", kind.rank),
+            deadline_at_ms=now_ms + min(time_left_ms, kind.deadline_ms),
+            query_json=json.dumps(
+                data["query"], sort_keys=True, separators=(",", ":")
+            ).encode(),
+            idempotency_key=data.get("idempotency_key") or "",
+        )
+    )
+
+
+def key_issued_ms(key: str) -> int | None:
+    """Returns the wall-clock instant inside a key, or None if malformed."""
+    issued, separator, nonce = key.partition("-")
+    if not separator or not nonce or len(nonce) > MAX_NONCE_BYTES:
+        return None
+    if not (issued.isascii() and issued.isdigit() and len(issued) <= 15):
+        return None
+    return int(issued) if nonce.isascii() and nonce.isprintable() else None
+
+
+def _check_key(
+    kind: configuration_lib.Kind, key: typing.Any, wall_ms: int
+) -> str:
+    if kind.repeatable:
+        return "" if key in (None, "") else f"kind {kind.name} takes no key"
+    issued_ms = key_issued_ms(key) if isinstance(key, str) else None
+    if issued_ms is None:
+        return f"{key!r} is not <issued_ms>-<nonce>"
+    if issued_ms > wall_ms + MAX_KEY_SKEW_MS:
+        return f"{key!r} was issued in the future"
+    return ""
+
+
+def _is_name(value: typing.Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_NAME_BYTES
+
+
+def _bad(detail: str, source: str) -> result.Result[Request, errors.Error]:
+    return result.Failure(errors.BadRequest(detail, source))
--- /dev/null
+++ b/auburnway/entry/admitter.py
@@ -0,0 +1,188 @@
+"""Admission of requests and the sharing of slots with the other entries.
+
+Backend servers' slots are the scarce resource, and entries do not see each
+other's queues. Each application has one admission queue here, whose limit
+follows this entry's part of the demand of all entries.
+"""
+
+from collections import abc
+import typing
+
+from auburnway.core import answer as answer_lib
+from auburnway.core import clock as clock_lib
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+from auburnway.core import membership
+from auburnway.core import request as request_lib
+from auburnway.kernel import registry
+from auburnway.kernel import timers as timers_lib
+
+POLL_PERIOD_MS = 20.0
+LIMIT_PERIOD_MS = 100.0
+
+
+class Admitter:
+    """Decides when a request starts, or that it is refused."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        timers: timers_lib.TimerQueue,
+        table: membership.Table,
+        sharing: typing.Any,
+        peer_demands: abc.Callable[[], dict[str, dict]],
+        refuse: abc.Callable[[request_lib.Request, answer_lib.NotRun], None],
+    ):
+        self._clock = clock
+        self._table = table
+        self._sharing = sharing
+        self._peer_demands = peer_demands
+        self._refuse = refuse
+        self._configuration = configuration_lib.EMPTY
+        self._queues: dict[str, typing.Any] = {}
+        self._waiting: dict[str, tuple[request_lib.Request, typing.Any]] = {}
+        self._sheds: dict[str, int] = {}
+        self._starts: dict[str, int] = {}
+        timers.every(POLL_PERIOD_MS, self._poll_all)
+        timers.every(LIMIT_PERIOD_MS, self._set_limits)
+
+    def reconfigure(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Takes the configuration in force."""
+        old_policy = self._configuration.policy("admission", "ranked")
+        policy = configuration.policy("admission", "ranked")
+        self._configuration = configuration
+        if policy != old_policy:
+            # Waiting requests stay in the old queue until it is empty, so
+            # the plug-in is exchanged only for applications without any.
+            for name, queue in tuple(self._queues.items()):
+                if not any(map(sum, queue.demand().values())):
+                    del self._queues[name]
+        for queue in self._queues.values():
+            queue.reconfigure(configuration.ranks, self._caller_shares())
+        self._set_limits()
+
+    def offer(
+        self, request: request_lib.Request, start: abc.Callable[[], None]
+    ) -> None:
+        """Starts a request now or later, or refuses it.
+
+        Args:
+          request: The request.
+          start: Called once when it may start.
+        """
+        now_ms = self._clock.now_ms()
+        application = request.kind.application
+        decision = self._queue(application).offer(
+            request.request_id,
+            request.rank.name,
+            request.caller.name,
+            request.deadline_at_ms,
+            now_ms,
+        )
+        name = type(decision).__name__
+        if name == "Admitted":
+            self._starts[application] = self._starts.get(application, 0) + 1
+            start()
+        elif name == "Queued":
+            self._waiting[request.request_id] = (request, start)
+            self._poll(application)
+        else:
+            error = errors.Overloaded(decision.reason, request.request_id)
+            self._refuse(
+                request,
+                answer_lib.NotRun(
+                    request.request_id, error, decision.retry_after_ms
+                ),
+            )
+
+    def finish(self, request: request_lib.Request) -> None:
+        """Frees the slots of a request that has ended."""
+        application = request.kind.application
+        queue = self._queue(application)
+        queue.finish(request.request_id, self._clock.now_ms())
+        self._poll(application)
+
+    def shed(self, application: str) -> None:
+        """Notes that a backend server had no free slot."""
+        self._sheds[application] = self._sheds.get(application, 0) + 1
+
+    def demand(self) -> dict[str, dict[str, tuple[int, int]]]:
+        """Returns waiting and in-flight requests by application and rank."""
+        return {name: q.demand() for name, q in self._queues.items()}
+
+    def waiting_count(self) -> int:
+        """Returns how many requests wait."""
+        return len(self._waiting)
+
+    def _caller_shares(self) -> dict[str, float]:
+        return {c.name: c.share for c in self._configuration.callers}
+
+    def _queue(self, application: str) -> typing.Any:
+        queue = self._queues.get(application)
+        if queue is None:
+            policy = self._configuration.policy("admission", "ranked")
+            queue = registry.get("admission", policy)(
+                self._configuration.ranks,
+                self._caller_shares(),
+                self._clock.now_ms(),
+            )
+            self._queues[application] = queue
+            self._set_limit(application, queue, self._clock.now_ms())
+        return queue
+
+    def _set_limits(self) -> None:
+        now_ms = self._clock.now_ms()
+        for application, queue in self._queues.items():
+            self._set_limit(application, queue, now_ms)
+            self._poll(application)
+
+    def _set_limit(self, application, queue, now_ms: float) -> None:
+        peers = {
+            name: demand.get(application, {})
+            for name, demand in self._peer_demands().items()
+        }
+        sheds = self._sheds.pop(application, 0)
+        starts = self._starts.pop(application, 0)
+        limit = self._sharing.limit(
+            application,
+            self._fleet_slots(application),
+            queue.demand(),
+            peers,
+            sheds / max(starts + sheds, 1),
+            now_ms,
+        )
+        queue.set_limit(limit)
+
+    def _fleet_slots(self, application: str) -> int:
+        """Queries that the backend servers can run at once.
+
+        A query takes one slot in each shard, so the shard with the fewest
+        slots decides.
+        """
+        slots: dict[tuple[int, int], int] = {}
+        for row in self._table.servers(application):
+            for holding in row.holdings:
+                key = (holding.snapshot, holding.shard)
+                slots[key] = slots.get(key, 0) + row.slots
+        if not slots:
+            return 0
+        newest = max(snapshot for snapshot, _ in slots)
+        return min(n for (s, _), n in slots.items() if s == newest)
+
+    def _poll_all(self) -> None:
+        for application in tuple(self._queues):
+            self._poll(application)
+
+    def _poll(self, application: str) -> None:
+        queue = self._queues[application]
+        started, dropped = queue.poll(self._clock.now_ms())
+        for request_id, reason in dropped:
+            request, _ = self._waiting.pop(request_id)
+            error = errors.DeadlineExceeded(reason, request_id)
+            self._refuse(request, answer_lib.NotRun(request_id, error))
+        for request_id in started:
+            _, start = self._waiting.pop(request_id)
+            self._starts[application] = self._starts.get(application, 0) + 1
+            start()
--- /dev/null
+++ b/auburnway/entry/backends.py
@@ -0,0 +1,94 @@
+"""What a query needs to reach backend servers, and the wire form of that."""
+
+import dataclasses
+import random
+import typing
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import membership
+from auburnway.core import request as request_lib
+from auburnway.kernel import timers as timers_lib
+from auburnway.net import http_client
+
+
+@dataclasses.dataclass
+class Backends:
+    """Sockets, table and policies, shared by all queries of an entry.
+
+    Attributes:
+      pool: Connections to backend servers.
+      timers: Timer queue of the loop.
+      clock: Monotonic and wall clock.
+      table: Announced backend servers.
+      rng: Source of jitter.
+      chooser: Policy `replica_choice`.
+      hedger: Policy `hedging`.
+      budget: Shared budget of hedges and retries.
+      guard: Strikes, trials and canaries.
+      on_state: Called with a backend server's name and the state that a
+        reply carried, so that a drain needs no announcement to be seen.
+      sub_requests: Count of sub-requests sent.
+      extra_sub_requests: Count of those that were hedges or retries.
+    """
+
+    pool: http_client.HttpPool
+    timers: timers_lib.TimerQueue
+    clock: clock_lib.Clock
+    table: membership.Table
+    rng: random.Random
+    chooser: typing.Any
+    hedger: typing.Any
+    budget: typing.Any
+    guard: typing.Any
+    on_state: typing.Callable[[str, str], None]
+    sub_requests: int = 0
+    extra_sub_requests: int = 0
+
+
+def run_payload(
+    address: str,
+    request: request_lib.Request,
+    sub_id: str,
+    snapshot: int,
+    shard: int,
+    time_left_ms: float,
+    claim_id: str = "",
+) -> bytes:
+    """Returns the HTTP request that runs work on a backend server."""
+    body = b'{"kind":"%s","snapshot":%d,"shard":%d,"query":%s}' % (
+        request.kind.name.encode(),
+        snapshot,
+        shard,
+        request.query_json,
+    )
+    claim = f"x-claim-id: {claim_id}\r\n" if claim_id else ""
+    head = (
+        f"POST /v1/run HTTP/1.1\r\nhost: {address}\r\n"
+        "content-type: application/json\r\n"
+        f"x-request-id: {sub_id}\r\nx-time-left-ms: {time_left_ms:.0f}\r\n"
+        f"x-rank: {request.rank.name}\r\n{claim}"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def cancel_payload(address: str, sub_id: str) -> bytes:
+    """Returns the HTTP request that cancels a sub-request."""
+    body = b'{"request_id":"%s"}' % sub_id.encode()
+    head = (
+        f"POST /v1/cancel HTTP/1.1\r\nhost: {address}\r\n"
+        "content-type: application/json\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def not_started(reply: http_client.Reply) -> bool:
+    """Whether the reply proves that the work did not run there."""
+    return not reply.reached or reply.headers.get("x-not-started") == "1"
+
+
+def busy_slots(reply: http_client.Reply) -> int | None:
+    """Returns the load that the backend server reported, if any."""
+    value = reply.headers.get("x-busy-slots", "")
+    return int(value) if value.isdigit() else None
--- /dev/null
+++ b/auburnway/entry/claim_client.py
@@ -0,0 +1,195 @@
+"""Claims and settlements of this entry at control.
+
+A settlement is repeated until control has it, so that a resend of the same
+key finds the outcome. A claim whose grant was lost on the way is found again
+and settled as not run, because this entry knows that it dispatched nothing.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from returns import pipeline
+
+from auburnway.core import clock as clock_lib
+from auburnway.kernel import mailbox as mailbox_lib
+from auburnway.kernel import timers as timers_lib
+from auburnway.rpc import control_pb2
+
+CLAIM_TIMEOUT_MS = 1500.0
+SETTLE_TIMEOUT_MS = 1000.0
+RETRY_MS = 200.0
+# Larger answers are not recorded; only their outcome is.
+MAX_RECORDED_BYTES = 4096
+# A lost grant is looked for this long; then its claim stays open and a
+# resend is told unknown.
+RECOVER_FOR_MS = 600_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """What control says of a key.
+
+    Attributes:
+      caller: Caller that issued the key.
+      key: Idempotency key.
+      state: `granted`, `open`, `done`, `unknown`, `conflict` or `expired`.
+      claim_id: Identity of the claim.
+      attempt: Counts the attempts under this key.
+      result: Recorded answer when done; empty when it was too large.
+    """
+
+    caller: str
+    key: str
+    state: str
+    claim_id: int = 0
+    attempt: int = 0
+    result: bytes = b""
+
+
+class ClaimClient:
+    """Claims keys for the requests of this entry."""
+
+    def __init__(
+        self,
+        control: typing.Any,
+        mailbox: mailbox_lib.Mailbox,
+        timers: timers_lib.TimerQueue,
+        clock: clock_lib.Clock,
+        entry_name: str,
+        entry_incarnation: str,
+    ):
+        self._control = control
+        self._mailbox = mailbox
+        self._timers = timers
+        self._clock = clock
+        self._entry_name = entry_name
+        self._entry_incarnation = entry_incarnation
+        # Claims of this entry that a request holds, or whose grant was lost.
+        self._held: set[tuple[str, str]] = set()
+        self.unsettled = 0
+
+    def claim(
+        self,
+        caller: str,
+        key: str,
+        digest: str,
+        time_left_ms: float,
+        on_claim: abc.Callable[[Claim | None], None],
+    ) -> None:
+        """Claims a key.
+
+        Args:
+          caller: Caller that issued the key.
+          key: Idempotency key.
+          digest: Digest of kind and query.
+          time_left_ms: Time until the request's deadline.
+          on_claim: Called on the loop with what control says, or None when
+            it did not answer in time.
+        """
+        identity = (caller, key)
+        if identity in self._held:
+            # A request of this entry holds the claim; look again later.
+            on_claim(Claim(caller, key, "open"))
+            return
+        self._held.add(identity)
+
+        def on_reply(claim):
+            if claim is None:
+                until_ms = self._clock.now_ms() + RECOVER_FOR_MS
+                self._recover(caller, key, digest, until_ms)
+            elif claim.state != "granted":
+                self._held.discard(identity)
+            on_claim(claim)
+
+        timeout_ms = max(min(time_left_ms, CLAIM_TIMEOUT_MS), 1.0)
+        self._ask(caller, key, digest, timeout_ms, on_reply)
+
+    def settle(self, claim: Claim, outcome: str, result: bytes = b"") -> None:
+        """Records the outcome of a claim; repeats until control has it.
+
+        Args:
+          claim: The granted claim.
+          outcome: `done`, `not_run` or `unknown`.
+          result: Answer to record with `done`.
+        """
+        if len(result) > MAX_RECORDED_BYTES:
+            result = b""
+        message = control_pb2.SettleRequest(
+            claim_id=claim.claim_id,
+            attempt=claim.attempt,
+            entry_incarnation=self._entry_incarnation,
+            outcome=outcome,
+            result=result,
+        )
+        self.unsettled += 1
+
+        def send():
+            self._call("Settle", message, SETTLE_TIMEOUT_MS, on_settled)
+
+        def on_settled(reply):
+            if reply is None:
+                self._timers.after(RETRY_MS, send)
+                return
+            self.unsettled -= 1
+            self._held.discard((claim.caller, claim.key))
+
+        send()
+
+    def _recover(
+        self, caller: str, key: str, digest: str, until_ms: float
+    ) -> None:
+        """Finds a claim whose grant was lost, and settles it as not run."""
+
+        def on_reply(claim):
+            if claim is None and self._clock.now_ms() < until_ms:
+                self._timers.after(RETRY_MS, send)
+            elif claim is not None and claim.state == "granted":
+                self.settle(claim, "not_run")
+            else:
+                self._held.discard((caller, key))
+
+        def send():
+            self._ask(caller, key, digest, CLAIM_TIMEOUT_MS, on_reply)
+
+        send()
+
+    def _ask(self, caller, key, digest, timeout_ms, on_claim) -> None:
+        def on_reply(reply):
+            if reply is None:
+                on_claim(None)
+                return
+            state = reply.state
+            if state == "open" and (
+                reply.entry_incarnation == self._entry_incarnation
+            ):
+                # Granted to this process before, and not dispatched by it.
+                state = "granted"
+            on_claim(
+                Claim(
+                    caller,
+                    key,
+                    state,
+                    reply.claim_id,
+                    reply.attempt,
+                    reply.result,
+                )
+            )
+
+        message = control_pb2.ClaimRequest(
+            caller=caller,
+            key=key,
+            digest=digest,
+            entry_name=self._entry_name,
+            entry_incarnation=self._entry_incarnation,
+        )
+        self._call("Claim", message, timeout_ms, on_reply)
+
+    def _call(self, method, message, timeout_ms, on_reply) -> None:
+        def on_done(outcome):
+            reply = None
+            if pipeline.is_successful(outcome):
+                reply = outcome.unwrap()
+            self._mailbox.post(lambda: on_reply(reply))
+
+        self._control.call_async(method, message, timeout_ms, on_done)
--- /dev/null
+++ b/auburnway/entry/crash_guard.py
@@ -0,0 +1,170 @@
+"""Keeps one request from crashing backend server after backend server.
+
+A connection lost while a request ran is a strike on that request. From then
+on it runs only as a trial, and control grants one trial at a time across all
+entries. Requests that merely ran beside the cause pass their trial and are
+cleared.
+"""
+
+from collections import abc
+import typing
+
+from returns import pipeline
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import membership
+from auburnway.core import request as request_lib
+from auburnway.kernel import mailbox as mailbox_lib
+from auburnway.rpc import control_pb2
+
+CONTROL_TIMEOUT_MS = 300.0
+
+
+def _incarnation(row: membership.Row) -> str:
+    return f"{row.name}/{row.started_ms}"
+
+
+class CrashGuard:
+    """Strikes, trials and canaries of this entry."""
+
+    def __init__(
+        self,
+        quarantine: typing.Any,
+        control: typing.Any,
+        mailbox: mailbox_lib.Mailbox,
+        clock: clock_lib.Clock,
+        entry_name: str,
+        entry_incarnation: str,
+        relay: abc.Callable[[list], None],
+    ):
+        self._quarantine = quarantine
+        self._control = control
+        self._mailbox = mailbox
+        self._clock = clock
+        self._entry_name = entry_name
+        self._entry_incarnation = entry_incarnation
+        self._relay = relay
+
+    def fingerprint(self, request: request_lib.Request) -> str:
+        """Identifies requests that are likely to behave alike."""
+        return self._quarantine.fingerprint(
+            request.caller.name, request.kind.name, request.query_json
+        )
+
+    def needs_canary(self, request: request_lib.Request) -> bool:
+        """Whether a fan-out must first survive on one backend server."""
+        if request.kind.canary == "off":
+            return False
+        return self._quarantine.needs_canary(self.fingerprint(request))
+
+    def needs_trial(self, request: request_lib.Request) -> bool:
+        """Whether the request has a strike that is not yet cleared."""
+        return self._quarantine.needs_trial(
+            self.fingerprint(request), self._clock.now_ms()
+        )
+
+    def refused(self, request: request_lib.Request) -> bool:
+        """Whether the request lost a trial and is refused for now."""
+        return self._quarantine.refused(
+            self.fingerprint(request), self._clock.now_ms()
+        )
+
+    def seen_ok(self, request: request_lib.Request) -> None:
+        """Notes that the request ran whole, so it needs no canary."""
+        self._quarantine.seen_ok(self.fingerprint(request))
+
+    def record_loss(
+        self, request: request_lib.Request, row: membership.Row
+    ) -> None:
+        """Adds a strike here, at the peers and at control."""
+        fingerprint = self.fingerprint(request)
+        now_ms = self._clock.now_ms()
+        if self._quarantine.strike(fingerprint, _incarnation(row), now_ms):
+            self._relay(self._quarantine.export(now_ms))
+        self._call(
+            "Strike",
+            control_pb2.StrikeRequest(
+                fingerprint=fingerprint,
+                backend_server=row.name,
+                backend_incarnation=_incarnation(row),
+                entry_name=self._entry_name,
+            ),
+            lambda reply: None,
+        )
+
+    def acquire_trial(
+        self,
+        request: request_lib.Request,
+        on_state: abc.Callable[[str], None],
+    ) -> None:
+        """Asks control for the trial of a request.
+
+        Args:
+          request: The request that has a strike.
+          on_state: Called on the loop with `granted`, `clear` (no strike is
+            left), `busy`, `refused` or `unavailable`.
+        """
+        fingerprint = self.fingerprint(request)
+
+        def on_reply(reply):
+            if reply is None:
+                on_state("unavailable")
+                return
+            if reply.state == "clear":
+                self._quarantine.clear(fingerprint)
+            elif reply.state == "refused":
+                left_ms = reply.refused_until_wall_ms - self._clock.wall_ms()
+                until_ms = self._clock.now_ms() + left_ms
+                self._quarantine.refuse(fingerprint, until_ms)
+            on_state(reply.state)
+
+        self._call(
+            "GrantTrial",
+            control_pb2.TrialRequest(
+                fingerprint=fingerprint,
+                entry_name=self._entry_name,
+                entry_incarnation=self._entry_incarnation,
+            ),
+            on_reply,
+        )
+
+    def end_trial(
+        self,
+        request: request_lib.Request,
+        outcome: str,
+        row: membership.Row | None,
+    ) -> None:
+        """Reports the end of a trial.
+
+        Args:
+          request: The request tried.
+          outcome: `passed`, `lost` or `not_run`.
+          row: The backend server that was lost, if any.
+        """
+        fingerprint = self.fingerprint(request)
+        if outcome == "passed":
+            self._quarantine.clear(fingerprint)
+        self._call(
+            "EndTrial",
+            control_pb2.EndTrialRequest(
+                fingerprint=fingerprint,
+                entry_incarnation=self._entry_incarnation,
+                outcome=outcome,
+                backend_server=row.name if row else "",
+                backend_incarnation=_incarnation(row) if row else "",
+            ),
+            lambda reply: None,
+        )
+
+    def merge(self, strikes: list) -> None:
+        """Takes strikes that a peer relayed."""
+        self._quarantine.merge(strikes, self._clock.now_ms())
+
+    def _call(self, method, message, on_reply) -> None:
+        def on_done(outcome):
+            reply = None
+            if pipeline.is_successful(outcome):
+                reply = outcome.unwrap()
+            self._mailbox.post(lambda: on_reply(reply))
+
+        self._control.call_async(method, message, CONTROL_TIMEOUT_MS, on_done)
--- /dev/null
+++ b/auburnway/entry/fan_out.py
@@ -0,0 +1,498 @@
+"""One repeatable query over all shards of a snapshot.
+
+The query is pinned to one snapshot. Each shard is asked on one replica, with
+hedges and retries inside one budget. The answer is whole, or at the deadline
+says truly which shards are missing.
+"""
+
+from collections import abc
+import json
+import typing
+
+from auburnway.core import answer as answer_lib
+from auburnway.core import errors
+from auburnway.core import request as request_lib
+from auburnway.core import snapshot as snapshot_lib
+from auburnway.entry import backends as backends_lib
+from auburnway.entry import sub_request
+from auburnway.net import http_client
+
+# Time kept for merging and for the way back to the caller.
+ANSWER_MARGIN_MS = 10.0
+# Part of a short deadline that is kept at most.
+ANSWER_MARGIN_SHARE = 0.1
+# Greatest pause when every replica of a shard refused for lack of a slot.
+MAX_BACKOFF_MS = 20.0
+# The rest of a fan-out follows its canary after this without latency data.
+CANARY_WAIT_MS = 50.0
+# A sub-request without a reply for this long is given up: its connection may
+# be silent for good.
+SILENCE_MS = 2000.0
+# A query that had to be planned anew this often takes what it has.
+MAX_PLANS = 3
+
+
+class FanOut:
+    """Runs one query; calls `on_done` once with its answer."""
+
+    def __init__(
+        self,
+        backends: backends_lib.Backends,
+        request: request_lib.Request,
+        configuration_number: int,
+        on_done: abc.Callable[[answer_lib.Answer], None],
+    ):
+        self._backends = backends
+        self._request = request
+        self._configuration_number = configuration_number
+        self._on_done = on_done
+        self._shards: dict[int, sub_request.Shard] = {}
+        self._manifest: snapshot_lib.Manifest | None = None
+        self._sequence = 0
+        self._plans = 0
+        self._reached = False
+        self._finished = False
+        self._timers: list = []
+        self._holds_trial = False
+
+    def start(self) -> None:
+        """Plans the query and sends its first sub-requests."""
+        backends, request = self._backends, self._request
+        now_ms = backends.clock.now_ms()
+        left_ms = request.deadline_at_ms - now_ms
+        margin_ms = min(ANSWER_MARGIN_MS, left_ms * ANSWER_MARGIN_SHARE)
+        self._after(left_ms - margin_ms, self._finish)
+        guard = backends.guard
+        if guard.needs_trial(request):
+            guard.acquire_trial(request, self._on_trial)
+        else:
+            self._plan(exclude=None)
+
+    # Planning.
+
+    def _on_trial(self, state: str) -> None:
+        if self._finished:
+            if state == "granted":
+                self._backends.guard.end_trial(self._request, "not_run", None)
+            return
+        if state == "refused":
+            self._end(
+                answer_lib.NotRun(
+                    self._request.request_id,
+                    errors.Quarantined(source=self._request.request_id),
+                )
+            )
+            return
+        if state == "busy":
+            self._after(
+                MAX_BACKOFF_MS * 2,
+                lambda: self._backends.guard.acquire_trial(
+                    self._request, self._on_trial
+                ),
+            )
+            return
+        if state == "unavailable":
+            # Without control nobody counts trials, so none is run.
+            self._finish()
+            return
+        self._holds_trial = state == "granted"
+        self._plan(exclude=None)
+
+    def _plan(self, exclude: int | None) -> None:
+        """Pins the query to a snapshot and launches its shards."""
+        request, table = self._request, self._backends.table
+        application = request.kind.application
+        manifest = snapshot_lib.choose(
+            (
+                manifest
+                for manifest in table.manifests(application)
+                if manifest.snapshot != exclude
+            ),
+            lambda snapshot, shard: bool(
+                table.replicas(application, snapshot, shard)
+            ),
+        )
+        if manifest is None:
+            if self._manifest is None:
+                self._finish()
+            return
+        self._plans += 1
+        self._drop_attempts()
+        self._manifest = manifest
+        self._shards = {s: sub_request.Shard(s) for s, _ in manifest.weights}
+        shards = list(self._shards.values())
+        canary = len(shards) > 1 and (
+            self._holds_trial or self._backends.guard.needs_canary(request)
+        )
+        if not canary:
+            self._launch_all()
+            return
+        first = self._backends.rng.choice(shards)
+        self._launch(first)
+        if not self._holds_trial:
+            delay_ms = self._backends.hedger.delay_ms(application)
+            self._after(delay_ms or CANARY_WAIT_MS, self._launch_all)
+
+    def _launch_all(self) -> None:
+        """Launches the shards that wait; arms one hedge timer for all."""
+        if self._finished:
+            return
+        waiting = [s for s in self._shards.values() if not s.launched]
+        for shard in waiting:
+            self._launch(shard)
+        if waiting and not self._finished:
+            self._arm_hedge(self._plans)
+            self._after(SILENCE_MS, lambda: self._give_up_silent(self._plans))
+
+    # Sub-requests.
+
+    def _launch(self, shard: sub_request.Shard, extra: bool = False) -> None:
+        backends, request = self._backends, self._request
+        manifest = self._manifest
+        shard.launched = True
+        now_ms = backends.clock.now_ms()
+        replicas = backends.table.replicas(
+            request.kind.application, manifest.snapshot, shard.shard
+        )
+        row = backends.chooser.choose(replicas, shard.tried, now_ms)
+        if row is None:
+            self._on_no_replica(shard, bool(replicas))
+            return
+        shard.tried.add(row.name)
+        self._sequence += 1
+        sub_id = f"{request.request_id}.{shard.shard}.{self._sequence}"
+        attempt = sub_request.Attempt(row, sub_id, now_ms)
+        shard.attempts.append(attempt)
+        backends.chooser.started(row.name, now_ms)
+        backends.sub_requests += 1
+        backends.extra_sub_requests += extra
+        backends.budget.on_sub_request()
+        payload = backends_lib.run_payload(
+            row.address,
+            request,
+            sub_id,
+            manifest.snapshot,
+            shard.shard,
+            request.deadline_at_ms - now_ms,
+        )
+        attempt.exchange = backends.pool.send(
+            row.address,
+            payload,
+            lambda reply: self._on_reply(shard, attempt, reply),
+        )
+
+    def _on_no_replica(
+        self, shard: sub_request.Shard, some_exist: bool
+    ) -> None:
+        if shard.attempts:
+            return
+        if some_exist and shard.backoff_ms <= MAX_BACKOFF_MS:
+            # Each replica refused; ask them all again after a pause.
+            pause_ms = shard.backoff_ms * (0.5 + self._backends.rng.random())
+            shard.backoff_ms *= 1.5
+            shard.tried.clear()
+            plan = self._plans
+            self._after(pause_ms, lambda: self._relaunch(shard, plan))
+            return
+        shard.failed = True
+        if not some_exist and self._plans < MAX_PLANS:
+            self._replan()
+        else:
+            self._check_complete()
+
+    def _replan(self) -> None:
+        """Reads another snapshot, when one is served as a whole."""
+        request, table = self._request, self._backends.table
+        application = request.kind.application
+        current = self._manifest.snapshot
+        for manifest in table.manifests(application):
+            if manifest.snapshot != current and all(
+                table.replicas(application, manifest.snapshot, shard)
+                for shard, _ in manifest.weights
+            ):
+                self._plan(exclude=current)
+                return
+        self._check_complete()
+
+    def _relaunch(self, shard: sub_request.Shard, plan: int) -> None:
+        if not self._finished and plan == self._plans and shard.open:
+            self._launch(shard)
+
+    def _on_reply(
+        self,
+        shard: sub_request.Shard,
+        attempt: sub_request.Attempt,
+        reply: http_client.Reply,
+    ) -> None:
+        backends = self._backends
+        now_ms = backends.clock.now_ms()
+        if attempt in shard.attempts:
+            shard.attempts.remove(attempt)
+        self._reached = self._reached or reply.reached
+        state = reply.headers.get("x-state")
+        if state is not None and state != "serving":
+            backends.on_state(attempt.row.name, state)
+        name, latency_ms = attempt.row.name, now_ms - attempt.started_ms
+        records = self._accept(shard, attempt, reply)
+        if records is not None:
+            backends.chooser.finished(
+                name, latency_ms, True, now_ms, backends_lib.busy_slots(reply)
+            )
+            backends.hedger.observe(
+                self._request.kind.application, latency_ms, now_ms
+            )
+            self._on_records(shard, records)
+        elif reply.status == 410:
+            # The replica dropped this snapshot; another may still hold it.
+            backends.chooser.shed(name, now_ms)
+            self._retry_free(shard, drop_snapshot=True)
+        elif reply.failure is None and backends_lib.not_started(reply):
+            backends.chooser.shed(name, now_ms)
+            self._retry_free(shard)
+        else:
+            backends.chooser.finished(name, latency_ms, False, now_ms, None)
+            self._on_error(shard, attempt, reply)
+
+    def _accept(
+        self,
+        shard: sub_request.Shard,
+        attempt: sub_request.Attempt,
+        reply: http_client.Reply,
+    ) -> list[typing.Any] | None:
+        """Returns the records of a reply that is truly for this attempt."""
+        if reply.status != 200:
+            return None
+        try:
+            data = json.loads(reply.body)
+            matches = (
+                data["request_id"] == attempt.sub_id
+                and data["snapshot"] == self._manifest.snapshot
+                and data["shard"] == shard.shard
+            )
+            return data["records"] if matches else None
+        except (ValueError, KeyError, TypeError):
+            return None
+
+    def _on_records(self, shard: sub_request.Shard, records: list) -> None:
+        if self._finished or not shard.open:
+            return
+        shard.records = records
+        self._drop(shard)
+        if any(not other.launched for other in self._shards.values()):
+            # The canary survived.
+            self._launch_all()
+        self._check_complete()
+
+    def _retry_free(
+        self, shard: sub_request.Shard, drop_snapshot: bool = False
+    ) -> None:
+        """Tries another replica; nothing ran, so no budget is spent."""
+        if self._finished or not shard.open or shard.attempts:
+            return
+        if drop_snapshot:
+            replicas = self._backends.table.replicas(
+                self._request.kind.application,
+                self._manifest.snapshot,
+                shard.shard,
+            )
+            if all(row.name in shard.tried for row in replicas):
+                shard.failed = True
+                if self._plans < MAX_PLANS:
+                    self._replan()
+                else:
+                    self._check_complete()
+                return
+        self._launch(shard)
+
+    def _on_error(
+        self,
+        shard: sub_request.Shard,
+        attempt: sub_request.Attempt,
+        reply: http_client.Reply,
+    ) -> None:
+        if not reply.reached:
+            self._retry_free(shard)
+            return
+        guard = self._backends.guard
+        if reply.failure is http_client.Failure.CONNECTION_LOST:
+            guard.record_loss(self._request, attempt.row)
+            if self._holds_trial:
+                self._holds_trial = False
+                guard.end_trial(self._request, "lost", attempt.row)
+                self._end(
+                    answer_lib.Unknown(
+                        self._request.request_id,
+                        errors.Quarantined(source=self._request.request_id),
+                    )
+                )
+                return
+            if self._finished or not shard.open or shard.attempts:
+                return
+            # This request may have caused the loss, so the shard is asked
+            # again only as a trial.
+            plan = self._plans
+            guard.acquire_trial(
+                self._request,
+                lambda state: self._on_shard_trial(shard, plan, state),
+            )
+            return
+        self._retry_paid(shard)
+
+    def _on_shard_trial(
+        self, shard: sub_request.Shard, plan: int, state: str
+    ) -> None:
+        live = not self._finished and plan == self._plans and shard.open
+        if state in ("granted", "clear") and live:
+            self._holds_trial = self._holds_trial or state == "granted"
+            self._retry_paid(shard)
+            return
+        if state == "granted":
+            self._backends.guard.end_trial(self._request, "not_run", None)
+        if state == "busy" and live:
+            self._after(
+                MAX_BACKOFF_MS * 2,
+                lambda: self._backends.guard.acquire_trial(
+                    self._request,
+                    lambda state: self._on_shard_trial(shard, plan, state),
+                ),
+            )
+            return
+        if live:
+            shard.failed = True
+            self._check_complete()
+
+    def _retry_paid(self, shard: sub_request.Shard) -> None:
+        if self._finished or not shard.open or shard.attempts:
+            return
+        if self._backends.budget.try_spend(self._backends.clock.now_ms()):
+            self._launch(shard, extra=True)
+        else:
+            shard.failed = True
+            self._check_complete()
+
+    # Hedges and silence.
+
+    def _arm_hedge(self, plan: int) -> None:
+        delay_ms = self._backends.hedger.delay_ms(
+            self._request.kind.application
+        )
+        if delay_ms is not None:
+            self._after(delay_ms, lambda: self._hedge(plan))
+
+    def _hedge(self, plan: int) -> None:
+        if self._finished or plan != self._plans or self._holds_trial:
+            return
+        backends = self._backends
+        now_ms = backends.clock.now_ms()
+        refused = False
+        for shard in tuple(self._shards.values()):
+            if not shard.open or shard.hedged or not shard.attempts:
+                continue
+            replicas = backends.table.replicas(
+                self._request.kind.application,
+                self._manifest.snapshot,
+                shard.shard,
+            )
+            if all(row.name in shard.tried for row in replicas):
+                continue
+            if not backends.budget.try_spend(now_ms):
+                refused = True
+                break
+            shard.hedged = True
+            self._launch(shard, extra=True)
+        if refused and not self._finished:
+            self._arm_hedge(plan)
+
+    def _give_up_silent(self, plan: int) -> None:
+        if self._finished or plan != self._plans:
+            return
+        for shard in tuple(self._shards.values()):
+            if shard.open and shard.attempts:
+                self._drop(shard)
+                self._retry_paid(shard)
+
+    def _drop(self, shard: sub_request.Shard) -> None:
+        """Gives up the attempts of a shard and cancels them."""
+        backends = self._backends
+        now_ms = backends.clock.now_ms()
+        for attempt in shard.attempts:
+            backends.chooser.abandoned(attempt.row.name, now_ms)
+            sent = attempt.exchange is not None and attempt.exchange.abandon()
+            address = attempt.row.address
+            if sent and backends.pool.has_capacity(address):
+                backends.pool.send(
+                    address,
+                    backends_lib.cancel_payload(address, attempt.sub_id),
+                    lambda reply: None,
+                )
+        shard.attempts.clear()
+
+    def _drop_attempts(self) -> None:
+        for shard in self._shards.values():
+            self._drop(shard)
+
+    # Ending.
+
+    def _check_complete(self) -> None:
+        if not any(shard.open for shard in self._shards.values()):
+            self._finish()
+
+    def _finish(self) -> None:
+        """Answers with what has arrived."""
+        if self._finished:
+            return
+        request = self._request
+        if self._manifest is None or not (self._reached or self._answered()):
+            if any(shard.attempts for shard in self._shards.values()):
+                self._end(self._partial())
+                return
+            error = errors.NoBackendServer(
+                f"no backend server of {request.kind.application} was reached",
+                request.request_id,
+            )
+            self._end(answer_lib.NotRun(request.request_id, error))
+            return
+        self._end(self._partial())
+
+    def _answered(self) -> dict[int, list]:
+        return {
+            shard.shard: shard.records
+            for shard in self._shards.values()
+            if shard.records is not None
+        }
+
+    def _partial(self) -> answer_lib.Done:
+        answered = self._answered()
+        return answer_lib.Done(
+            request=self._request,
+            configuration_number=self._configuration_number,
+            snapshot=self._manifest.snapshot,
+            coverage=snapshot_lib.coverage(self._manifest, answered),
+            records=tuple(
+                record
+                for shard in sorted(answered)
+                for record in answered[shard]
+            ),
+        )
+
+    def _end(self, answer: answer_lib.Answer) -> None:
+        if self._finished:
+            return
+        self._finished = True
+        self._drop_attempts()
+        for timer in self._timers:
+            timer.cancel()
+        guard = self._backends.guard
+        whole = isinstance(answer, answer_lib.Done) and not (
+            answer.coverage.missing_shards
+        )
+        if self._holds_trial:
+            guard.end_trial(
+                self._request, "passed" if whole else "not_run", None
+            )
+        if whole:
+            guard.seen_ok(self._request)
+        self._on_done(answer)
+
+    def _after(self, delay_ms: float, call: abc.Callable[[], None]) -> None:
+        self._timers.append(self._backends.timers.after(delay_ms, call))
--- /dev/null
+++ b/auburnway/entry/front.py
@@ -0,0 +1,220 @@
+"""Callers' HTTP, by circuits.web, with limits on size and time.
+
+circuits.web reads a request of any size at any pace. This component watches
+the bytes of each connection before the parser sees them, and answers with a
+typed 4xx what breaks the limits.
+"""
+
+from collections import abc
+import dataclasses
+import json
+
+import circuits
+from circuits import core
+from circuits import web
+from circuits.net import events as net_events
+from circuits.web import events as web_events
+
+from auburnway.core import answer as answer_lib
+from auburnway.core import clock as clock_lib
+from auburnway.core import errors
+from auburnway.entry import settings as settings_lib
+from auburnway.kernel import timers as timers_lib
+
+SWEEP_PERIOD_MS = 500.0
+JSON_TYPE = "application/json"
+
+OnResponse = abc.Callable[[answer_lib.Rendered], None]
+Route = abc.Callable[[bytes, dict[str, str], OnResponse], None]
+
+
+class NotFound(errors.Error):
+    """No route has this method and path."""
+
+    code = "not_found"
+    remedy = "See docs/API.md for the routes."
+    http_status = 404
+
+
+class TooSlow(errors.Error):
+    """The caller did not send a whole request in time."""
+
+    code = "request_timeout"
+    remedy = "Send the whole request at once."
+    http_status = 408
+
+
+@dataclasses.dataclass(slots=True)
+class _Client:
+    """One caller's connection."""
+
+    last_ms: float
+    first_byte_ms: float | None = None
+    received_bytes: int = 0
+    pending: bool = False
+
+
+def render_error(error: errors.Error) -> answer_lib.Rendered:
+    """Returns the HTTP form of an error outside any request."""
+    body = {"outcome": "not_run", "error": error.as_dict()}
+    return answer_lib.Rendered(error.http_status, json.dumps(body).encode())
+
+
+class Front(circuits.Component):
+    """HTTP server of an entry.
+
+    Args:
+      settings: Settings of the entry.
+      clock: Clock for the limits.
+      timers: Timer queue of the loop.
+      routes: Functions by method and path. Each takes body, headers by
+        lower-case name and a function to call once with the response.
+    """
+
+    channel = "web"
+
+    def __init__(
+        self,
+        settings: settings_lib.EntrySettings,
+        clock: clock_lib.Clock,
+        timers: timers_lib.TimerQueue,
+        routes: dict[tuple[str, str], Route],
+    ):
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._routes = routes
+        self._clients: dict = {}
+        host, _, port = settings.address.rpartition(":")
+        self._server = web.BaseServer(
+            (host, int(port)), display_banner=False
+        ).register(self)
+        timers.every(SWEEP_PERIOD_MS, self._sweep)
+
+    def pending_count(self) -> int:
+        """Returns how many requests have no response yet."""
+        return sum(client.pending for client in self._clients.values())
+
+    def stop_accepting(self) -> None:
+        """Closes the listener; open connections go on."""
+        server = self._server.server
+        listener = server._sock
+        server._poller.discard(listener)
+        listener.close()
+
+    @core.handler("ready", priority=10)
+    def _on_ready(self, event, *_):
+        event.stop()
+
+    @core.handler("connect")
+    def _on_connect(self, sock, *_):
+        if len(self._clients) >= self._settings.max_connections:
+            self.fire(net_events.close(sock))
+            return
+        self._clients[sock] = _Client(self._clock.now_ms())
+
+    @core.handler("disconnect")
+    def _on_disconnect(self, sock):
+        self._clients.pop(sock, None)
+        # circuits.web keeps the parser of an unfinished request.
+        self._server.http._buffers.pop(sock, None)
+
+    @core.handler("read", priority=10)
+    def _on_read(self, event, sock, data):
+        client = self._clients.get(sock)
+        if client is None:
+            event.stop()
+            return
+        now_ms = self._clock.now_ms()
+        client.last_ms = now_ms
+        if client.first_byte_ms is None:
+            client.first_byte_ms = now_ms
+        client.received_bytes += len(data)
+        limits = self._settings
+        if client.received_bytes > (
+            limits.max_body_bytes + limits.max_header_bytes
+        ):
+            event.stop()
+            detail = f"more than {limits.max_body_bytes} bytes"
+            self._reject(sock, errors.BodyTooLarge(detail))
+
+    @core.handler("request", priority=10)
+    def _on_request(self, event, request, response):
+        event.stop()
+        client = self._clients.get(request.sock)
+        if client is None:
+            return True
+        client.pending = True
+        client.first_byte_ms = None
+        client.received_bytes = 0
+        body = request.body.read()
+
+        def respond(rendered):
+            self._respond(request, response, rendered)
+
+        route = self._routes.get((request.method, request.path))
+        if len(body) > self._settings.max_body_bytes:
+            detail = f"{len(body)} bytes"
+            respond(render_error(errors.BodyTooLarge(detail)))
+        elif route is None:
+            detail = f"{request.method} {request.path}"
+            respond(render_error(NotFound(detail)))
+        else:
+            headers = {k.lower(): v for k, v in request.headers.items()}
+            route(body, headers, respond)
+        # circuits.web sends no response of its own for a boolean.
+        return True
+
+    @core.handler("httperror", priority=10)
+    def _on_httperror(self, event, request, response, code=None, **details):
+        event.stop()
+        kind = (details.get("error") or (None,))[0]
+        # The parser raises ValueError for a header that is not a number.
+        if kind is ValueError or code is not None and code < 500:
+            error = errors.BadRequest(f"HTTP error {code or 400}")
+        else:
+            error = errors.Error("unexpected error in the HTTP server")
+        response.close = True
+        client = self._clients.get(request.sock)
+        if client is not None:
+            client.pending = True
+        self._respond(request, response, render_error(error))
+
+    def _respond(self, request, response, rendered) -> None:
+        client = self._clients.get(request.sock)
+        if client is None or not client.pending:
+            return
+        client.pending = False
+        client.last_ms = self._clock.now_ms()
+        response.status = rendered.status
+        response.headers["Content-Type"] = rendered.content_type
+        if rendered.retry_after_ms is not None:
+            seconds = max(1, round(rendered.retry_after_ms / 1000.0))
+            response.headers["Retry-After"] = str(seconds)
+        response.body = rendered.body
+        self.fire(web_events.response(response))
+
+    def _reject(self, sock, error: errors.Error) -> None:
+        """Answers on a connection whose request was not read, and closes."""
+        rendered = render_error(error)
+        head = (
+            f"HTTP/1.1 {rendered.status} {error.code}\r\n"
+            f"Content-Type: {JSON_TYPE}\r\nConnection: close\r\n"
+            f"Content-Length: {len(rendered.body)}\r\n\r\n"
+        )
+        self._clients.pop(sock, None)
+        self.fire(net_events.write(sock, head.encode() + rendered.body))
+        self.fire(net_events.close(sock))
+
+    def _sweep(self) -> None:
+        now_ms = self._clock.now_ms()
+        limits = self._settings
+        for sock, client in tuple(self._clients.items()):
+            if client.pending:
+                continue
+            begun_ms = client.first_byte_ms
+            if begun_ms is not None:
+                if now_ms - begun_ms > limits.request_read_timeout_ms:
+                    self._reject(sock, TooSlow())
+            elif now_ms - client.last_ms > limits.idle_connection_ms:
+                self.fire(net_events.close(sock))
--- /dev/null
+++ b/auburnway/entry/node.py
@@ -0,0 +1,470 @@
+"""The entry: wires front, policies, peers and control together."""
+
+import hmac
+import json
+import random
+import typing
+
+import loguru
+from returns import pipeline
+
+from auburnway.core import answer as answer_lib
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+from auburnway.core import membership
+from auburnway.core import request as request_lib
+from auburnway.entry import admitter as admitter_lib
+from auburnway.entry import backends as backends_lib
+from auburnway.entry import claim_client
+from auburnway.entry import crash_guard
+from auburnway.entry import fan_out
+from auburnway.entry import front as front_lib
+from auburnway.entry import lease as lease_lib
+from auburnway.entry import non_repeatable
+from auburnway.entry import peers as peers_lib
+from auburnway.entry import settings as settings_lib
+from auburnway.kernel import mailbox as mailbox_lib
+from auburnway.kernel import metrics as metrics_lib
+from auburnway.kernel import process
+from auburnway.kernel import registry
+from auburnway.net import http_client
+from auburnway.policy import quarantine as quarantine_lib
+from auburnway.policy import retry_budget
+from auburnway.policy import slot_sharing
+from auburnway.rpc import control_client
+from auburnway.rpc import control_pb2
+
+# Connections opened to a new backend server before it gets traffic.
+WARM_CONNECTIONS = 2
+EXPIRE_PERIOD_MS = 250.0
+SHARE_PERIOD_MS = 100.0
+DRAIN_CHECK_MS = 20.0
+QUARANTINE_WINDOW_MS = 600_000.0
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(
+        self, settings: settings_lib.EntrySettings, loop: process.Loop
+    ):
+        self._settings = settings
+        self._loop = loop
+        self._clock = loop.clock
+        self._rng = random.Random(settings.seed or None)
+        self._started_wall_ms = self._clock.wall_ms()
+        incarnation = str(self._started_wall_ms)
+        self._sequence = 0
+        self._leaving = False
+        self._unanswered = 0
+        registry.load("auburnway.policy")
+
+        mailbox = mailbox_lib.Mailbox().register(loop.root)
+        control = control_client.ControlClient(
+            settings.control_addresses, settings.token, self._clock
+        )
+        loop.stack.callback(control.close)
+        self._pool = http_client.HttpPool(
+            loop.poller, loop.timers, self._clock
+        ).register(loop.root)
+        loop.stack.callback(self._pool.close_all)
+        self._table = membership.Table(settings.backend_lease_ms)
+        self._peers = peers_lib.Peers(
+            poller=loop.poller,
+            timers=loop.timers,
+            clock=self._clock,
+            name=settings.name,
+            caller_address=settings.address,
+            peer_address=settings.peer_address,
+            data_center=settings.data_center,
+            seeds=settings.seed_peers,
+            token=settings.token,
+            mode=settings.when_isolated,
+            table=self._table,
+            on_row=self._on_row,
+            on_configuration=self._on_peer_configuration,
+            on_strikes=lambda strikes: self._guard.merge(strikes),
+        ).register(loop.root)
+        loop.stack.callback(self._peers.close)
+        self._guard = crash_guard.CrashGuard(
+            quarantine_lib.Quarantine(QUARANTINE_WINDOW_MS),
+            control,
+            mailbox,
+            self._clock,
+            settings.name,
+            incarnation,
+            self._peers.relay_strikes,
+        )
+        self._claims = claim_client.ClaimClient(
+            control,
+            mailbox,
+            loop.timers,
+            self._clock,
+            settings.name,
+            incarnation,
+        )
+        self._backends = backends_lib.Backends(
+            pool=self._pool,
+            timers=loop.timers,
+            clock=self._clock,
+            table=self._table,
+            rng=self._rng,
+            chooser=self._new_chooser("two_choices"),
+            hedger=registry.get("hedging", "quantile")(),
+            budget=retry_budget.Budget(),
+            guard=self._guard,
+            on_state=self._on_reply_state,
+        )
+        self._admitter = admitter_lib.Admitter(
+            self._clock,
+            loop.timers,
+            self._table,
+            slot_sharing.Sharing(len(settings.seed_peers) + 1),
+            self._peers.demands,
+            self._refuse,
+        )
+        self._respond: dict[str, typing.Any] = {}
+        self._lease = lease_lib.LeaseKeeper(
+            control,
+            mailbox,
+            loop.timers,
+            self._clock,
+            control_pb2.RenewRequest(
+                entry_name=settings.name,
+                entry_incarnation=incarnation,
+                data_center=settings.data_center,
+                caller_address=settings.address,
+                peer_address=settings.peer_address,
+            ),
+            self._on_configuration,
+            self._on_lease,
+        )
+        self._metrics = metrics_lib.Metrics("entry")
+        loop.stack.callback(self._metrics.close)
+        self._latency = self._metrics.duration(
+            "request", "Time from a caller's request to its answer."
+        )
+        self._outcomes = self._metrics.counter(
+            "request.outcomes", "Answers by rank, caller and outcome."
+        )
+        self._add_gauges()
+        self._front = front_lib.Front(
+            settings,
+            self._clock,
+            loop.timers,
+            {
+                ("GET", "/v1/addresses"): self._on_addresses,
+                ("POST", "/v1/requests"): self._on_request,
+                ("POST", "/v1/announce"): self._on_announce,
+                ("GET", "/v1/status"): self._on_status,
+                ("GET", "/metrics"): self._on_metrics,
+            },
+        ).register(loop.root)
+        loop.timers.every(EXPIRE_PERIOD_MS, self._expire)
+        loop.timers.every(SHARE_PERIOD_MS, self._share)
+        loop.on_stop = self.leave
+        self._lease.start()
+
+    # Callers.
+
+    def _on_addresses(self, body, headers, respond) -> None:
+        data = {
+            "addresses": self._peers.addresses(),
+            "ttl_ms": self._settings.address_ttl_ms,
+        }
+        respond(answer_lib.Rendered(200, json.dumps(data).encode()))
+
+    def _on_request(self, body, headers, respond) -> None:
+        now_ms = self._clock.now_ms()
+        self._sequence += 1
+        request_id = (
+            f"{self._settings.name}-{self._started_wall_ms}-{self._sequence}"
+        )
+        if not self._peers.may_serve():
+            error = errors.Isolated(source=request_id)
+            respond(answer_lib.render(answer_lib.NotRun(request_id, error)))
+            return
+        parsed = request_lib.parse(
+            body,
+            self._lease.configuration,
+            request_id,
+            now_ms,
+            self._clock.wall_ms(),
+        )
+        if not pipeline.is_successful(parsed):
+            answer = answer_lib.NotRun(request_id, parsed.failure())
+            respond(answer_lib.render(answer))
+            return
+        request = parsed.unwrap()
+
+        def on_rendered(rendered, outcome):
+            seconds = (self._clock.now_ms() - now_ms) / 1000.0
+            labels = {
+                "rank": request.rank.name,
+                "caller": request.caller.name,
+            }
+            self._latency.record(seconds, labels)
+            self._outcomes.add(1, {**labels, "outcome": outcome})
+            respond(rendered)
+
+        self._respond[request_id] = on_rendered
+        if self._guard.refused(request):
+            error = errors.Quarantined(source=request_id)
+            self._refuse(request, answer_lib.NotRun(request_id, error))
+            return
+        self._admitter.offer(request, lambda: self._start(request))
+
+    def _start(self, request: request_lib.Request) -> None:
+        def on_done(answer):
+            self._admitter.finish(request)
+            self._answer(request, answer)
+
+        number = self._lease.configuration.number
+        if request.kind.repeatable:
+            work = fan_out.FanOut(self._backends, request, number, on_done)
+        else:
+            work = non_repeatable.NonRepeatable(
+                self._backends, self._claims, request, number, on_done
+            )
+        work.start()
+
+    def _refuse(
+        self, request: request_lib.Request, answer: answer_lib.NotRun
+    ) -> None:
+        self._answer(request, answer)
+
+    def _answer(
+        self, request: request_lib.Request, answer: answer_lib.Answer
+    ) -> None:
+        respond = self._respond.pop(request.request_id)
+        respond(answer_lib.render(answer), type(answer).__name__.lower())
+        loguru.logger.debug(
+            "answered",
+            request_id=request.request_id,
+            caller=request.caller.name,
+            rank=request.rank.name,
+            outcome=type(answer).__name__,
+            snapshot=getattr(answer, "snapshot", None),
+        )
+
+    # Backend servers.
+
+    def _on_announce(self, body, headers, respond) -> None:
+        token = headers.get("x-fleet-token", "")
+        if not hmac.compare_digest(token, self._settings.token):
+            detail = "x-fleet-token is missing or wrong"
+            respond(front_lib.render_error(BadToken(detail)))
+            return
+        try:
+            decoded = membership.decode_row(json.loads(body))
+        except ValueError as error:
+            respond(front_lib.render_error(errors.BadRequest(str(error))))
+            return
+        if not pipeline.is_successful(decoded):
+            respond(front_lib.render_error(decoded.failure()))
+            return
+        row = decoded.unwrap()
+        if self._table.put(row, self._clock.now_ms()):
+            self._on_row(row)
+            self._peers.announce_row(row)
+        data = {
+            "heartbeat_ms": self._settings.heartbeat_ms,
+            "entries": self._peers.addresses(),
+        }
+        respond(answer_lib.Rendered(200, json.dumps(data).encode()))
+
+    def _on_row(self, row: membership.Row) -> None:
+        """Follows a change of the table."""
+        known = self._table.get(row.name)
+        if known.state is membership.State.GONE:
+            self._pool.remove_server(row.address)
+            self._backends.chooser.forget(row.name)
+            return
+        entries = max(len(self._peers.status()["entries"]), 1)
+        # One share is left for the entry that replaces another.
+        limit = max(row.connection_limit // (entries + 1), 1)
+        self._pool.set_server(row.address, limit, min(WARM_CONNECTIONS, limit))
+        if known.state is membership.State.SERVING:
+            self._backends.chooser.added(row.name, self._clock.now_ms())
+
+    def _on_reply_state(self, name: str, state: str) -> None:
+        """Takes a drain from a reply, ahead of the announcement."""
+        if state == membership.State.DRAINING.value:
+            self._table.mark(name, membership.State.DRAINING)
+
+    def _expire(self) -> None:
+        for row in self._table.expire(self._clock.now_ms()):
+            loguru.logger.warning(
+                "backend server's lease has run out",
+                backend_server=row.name,
+                state=row.state.value,
+            )
+            self._on_row(row)
+
+    # Configuration.
+
+    def _on_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        loguru.logger.info(
+            "configuration in force",
+            number=configuration.number,
+            digest=configuration.digest,
+        )
+        backends = self._backends
+        backends.chooser = self._exchange(
+            backends.chooser, configuration, "replica_choice", "two_choices"
+        )
+        backends.hedger = self._exchange(
+            backends.hedger, configuration, "hedging", "quantile"
+        )
+        self._table.set_drained([d.name for d in configuration.drains])
+        self._admitter.reconfigure(configuration)
+        self._peers.relay_configuration(
+            configuration_lib.encode(configuration), configuration.number
+        )
+        self._share()
+
+    def _exchange(self, present, configuration, kind: str, default: str):
+        """Returns the plug-in in force; the present one if unchanged."""
+        factory = registry.get(kind, configuration.policy(kind, default))
+        if type(present) is factory:
+            return present
+        if kind != "replica_choice":
+            return factory()
+        return self._new_chooser(configuration.policy(kind, default))
+
+    def _new_chooser(self, name: str):
+        factory = registry.get("replica_choice", name)
+        return factory(self._rng, self._settings.data_center)
+
+    def _on_peer_configuration(self, data: bytes, number: int) -> None:
+        if number > self._lease.configuration.number:
+            self._lease.take(configuration_lib.decode(data))
+
+    def _on_lease(self, lease_end_ms: float, entry_names) -> None:
+        self._peers.set_registered(entry_names)
+        self._share()
+
+    def _share(self) -> None:
+        """Tells the peers what they need to know of this entry."""
+        configuration = self._lease.configuration
+        self._peers.set_own(
+            number=configuration.number,
+            digest=configuration.digest,
+            lease_end_ms=self._lease.lease_end_ms,
+            has_read=self._lease.has_read,
+            leaving=self._leaving,
+            demand=self._admitter.demand(),
+        )
+        self._backends.budget.set_overloaded(self._admitter.waiting_count() > 0)
+
+    # Status.
+
+    def _on_status(self, body, headers, respond) -> None:
+        rows = [
+            {
+                **membership.encode_row(row),
+                "in_flight": self._backends.chooser.in_flight(row.name),
+                "latency_ms": self._backends.chooser.latency_ms(row.name),
+                "connections": self._pool.connection_count(row.address),
+            }
+            for row in self._table.rows()
+        ]
+        configuration = self._lease.configuration
+        data = {
+            "entry": self._settings.name,
+            "configuration_number": configuration.number,
+            "leased": self._peers.may_serve(),
+            "leaving": self._leaving,
+            "kinds": [kind.name for kind in configuration.kinds],
+            "peers": self._peers.status(),
+            "backend_servers": rows,
+            "ranks": self._admitter.demand(),
+            "sub_requests": self._backends.sub_requests,
+            "extra_sub_requests": self._backends.extra_sub_requests,
+            "unsettled_claims": self._claims.unsettled,
+        }
+        body = json.dumps(data).encode()
+        respond(answer_lib.Rendered(200, body))
+
+    def _on_metrics(self, body, headers, respond) -> None:
+        respond(
+            answer_lib.Rendered(
+                200,
+                self._metrics.text(),
+                content_type="text/plain; version=0.0.4",
+            )
+        )
+
+    def _add_gauges(self) -> None:
+        backends, metrics = self._backends, self._metrics
+        metrics.gauge(
+            "configuration.number",
+            "Release note in force.",
+            lambda: [(self._lease.configuration.number, {})],
+        )
+        metrics.gauge(
+            "lease.remaining",
+            "Time left on the configuration lease.",
+            lambda: [
+                (
+                    (self._lease.lease_end_ms - self._clock.now_ms()) / 1000.0,
+                    {},
+                )
+            ],
+            unit="s",
+        )
+        metrics.gauge(
+            "sub_requests",
+            "Sub-requests sent to backend servers since the start.",
+            lambda: [
+                (backends.sub_requests, {"kind": "all"}),
+                (backends.extra_sub_requests, {"kind": "extra"}),
+            ],
+        )
+        metrics.gauge(
+            "requests.in_progress",
+            "Requests by application, rank and state.",
+            lambda: [
+                (count, {"application": a, "rank": r, "state": state})
+                for a, ranks in self._admitter.demand().items()
+                for r, counts in ranks.items()
+                for state, count in zip(
+                    ("waiting", "in_flight"), counts, strict=True
+                )
+            ],
+        )
+
+    # Planned stop.
+
+    def leave(self) -> None:
+        """Leaves the address answers, waits, drains, then ends the loop."""
+        loguru.logger.info("leaving")
+        self._leaving = True
+        self._share()
+        self._loop.timers.after(
+            self._settings.address_ttl_ms, self._stop_accepting
+        )
+
+    def _stop_accepting(self) -> None:
+        self._front.stop_accepting()
+        self._drain()
+
+    def _drain(self) -> None:
+        if self._front.pending_count() or self._claims.unsettled:
+            self._loop.timers.after(DRAIN_CHECK_MS, self._drain)
+            return
+        self._lease.leave()
+        # The last poll gives the lease back; then the loop ends.
+        self._loop.timers.after(
+            lease_lib.POLL_WAIT_MS + lease_lib.RETRY_MS, self._loop.stop
+        )
+
+
+class BadToken(errors.Error):
+    """The fleet's shared secret is missing or wrong."""
+
+    code = "bad_token"
+    remedy = "Send the fleet's token in x-fleet-token."
+    http_status = 401
--- /dev/null
+++ b/auburnway/entry/non_repeatable.py
@@ -0,0 +1,317 @@
+"""One request that must run at most once.
+
+A durable claim precedes dispatch; its outcome is settled in control's log
+afterwards. The request is sent to another backend server only when the first
+provably did not start it. Silence is unknown, never a reason to send again.
+"""
+
+from collections import abc
+import hashlib
+import json
+
+from auburnway.core import answer as answer_lib
+from auburnway.core import errors
+from auburnway.core import request as request_lib
+from auburnway.core import snapshot as snapshot_lib
+from auburnway.entry import backends as backends_lib
+from auburnway.entry import claim_client
+from auburnway.net import http_client
+
+# Only a connection whose last round trip is this recent is used: an older
+# one may have gone silent, and silence cannot be repaired by sending again.
+MAX_SILENCE_MS = 1000.0
+# Not dispatched with less time left than this; it could not be answered.
+MIN_TIME_LEFT_MS = 5.0
+# Pause between looks at a claim that another attempt holds open.
+OPEN_PAUSE_MS = 100.0
+# Pause when every backend server refused for lack of a slot.
+SHED_PAUSE_MS = 10.0
+# A late reply still settles the claim as done for this long.
+LATE_REPLY_MS = 30_000.0
+
+
+class NonRepeatable:
+    """Runs one request at most once; calls `on_done` once."""
+
+    def __init__(
+        self,
+        backends: backends_lib.Backends,
+        claims: claim_client.ClaimClient,
+        request: request_lib.Request,
+        configuration_number: int,
+        on_done: abc.Callable[[answer_lib.Answer], None],
+    ):
+        self._backends = backends
+        self._claims = claims
+        self._request = request
+        self._configuration_number = configuration_number
+        self._on_done = on_done
+        self._claim: claim_client.Claim | None = None
+        self._tried: set[str] = set()
+        self._exchange: http_client.Exchange | None = None
+        self._answered = False
+        self._settled = False
+        self._sequence = 0
+        self._deadline_timer = None
+
+    def start(self) -> None:
+        """Claims the key, then dispatches."""
+        left_ms = self._time_left_ms()
+        self._deadline_timer = self._backends.timers.after(
+            left_ms, self._on_deadline
+        )
+        self._ask_claim()
+
+    # Claim.
+
+    def _ask_claim(self) -> None:
+        if self._answered:
+            return
+        request = self._request
+        digest = hashlib.sha256(
+            request.kind.name.encode() + b"\0" + request.query_json
+        ).hexdigest()
+        self._claims.claim(
+            request.caller.name,
+            request.idempotency_key,
+            digest,
+            self._time_left_ms(),
+            self._on_claim,
+        )
+
+    def _on_claim(self, claim: claim_client.Claim | None) -> None:
+        request_id = self._request.request_id
+        if claim is None:
+            # The claim may have been granted without our knowing. Nothing
+            # was dispatched, and the claim client settles it as not run.
+            self._not_run(errors.ControlUnavailable(source=request_id))
+        elif claim.state == "granted":
+            self._claim = claim
+            if self._answered:
+                self._settle("not_run")
+            else:
+                self._before_dispatch()
+        elif self._answered:
+            return
+        elif claim.state == "done":
+            self._answer(answer_lib.Recorded(request_id, claim.result))
+        elif claim.state == "open":
+            self._backends.timers.after(OPEN_PAUSE_MS, self._ask_claim)
+        elif claim.state == "conflict":
+            self._not_run(errors.KeyConflict(source=request_id))
+        elif claim.state == "expired":
+            self._not_run(errors.KeyExpired(source=request_id))
+        else:
+            self._unknown("an earlier attempt with this key ended unknown")
+
+    # Dispatch.
+
+    def _before_dispatch(self) -> None:
+        guard = self._backends.guard
+        if guard.needs_trial(self._request):
+            guard.acquire_trial(self._request, self._on_trial)
+        else:
+            self._dispatch()
+
+    def _on_trial(self, state: str) -> None:
+        if self._answered:
+            if state == "granted":
+                self._backends.guard.end_trial(self._request, "not_run", None)
+            return
+        source = self._request.request_id
+        if state in ("granted", "clear"):
+            self._dispatch(trial=state == "granted")
+        elif state == "busy":
+            self._backends.timers.after(OPEN_PAUSE_MS, self._before_dispatch)
+        elif state == "refused":
+            self._settle("not_run")
+            self._not_run(errors.Quarantined(source=source))
+        else:
+            self._settle("not_run")
+            self._not_run(errors.ControlUnavailable(source=source))
+
+    def _dispatch(self, trial: bool = False) -> None:
+        """Sends the request to one backend server, if there is time."""
+        if self._answered:
+            self._end_trial(trial, "not_run", None)
+            return
+        backends, request = self._backends, self._request
+        # A process that was frozen finds its deadline passed here, before
+        # any byte is sent.
+        if self._time_left_ms() < MIN_TIME_LEFT_MS:
+            self._end_trial(trial, "not_run", None)
+            self._on_deadline()
+            return
+        now_ms = backends.clock.now_ms()
+        manifest = snapshot_lib.choose(
+            backends.table.manifests(request.kind.application),
+            lambda snapshot, shard: bool(
+                backends.table.replicas(
+                    request.kind.application, snapshot, shard
+                )
+            ),
+        )
+        if manifest is None or not manifest.weights:
+            self._end_trial(trial, "not_run", None)
+            self._settle("not_run")
+            self._not_run(errors.NoBackendServer(source=request.request_id))
+            return
+        shard = manifest.weights[0][0]
+        replicas = backends.table.replicas(
+            request.kind.application, manifest.snapshot, shard
+        )
+        row = backends.chooser.choose(replicas, self._tried, now_ms)
+        if row is None:
+            # All refused; ask them again while there is time.
+            self._tried.clear()
+            backends.timers.after(SHED_PAUSE_MS, lambda: self._dispatch(trial))
+            return
+        self._tried.add(row.name)
+        self._sequence += 1
+        sub_id = f"{request.request_id}.{shard}.{self._sequence}"
+        payload = backends_lib.run_payload(
+            row.address,
+            request,
+            sub_id,
+            manifest.snapshot,
+            shard,
+            self._time_left_ms(),
+            f"{self._claim.claim_id}.{self._claim.attempt}",
+        )
+        backends.chooser.started(row.name, now_ms)
+        backends.sub_requests += 1
+        exchange = backends.pool.send(
+            row.address,
+            payload,
+            lambda reply: self._on_reply(
+                reply, row, sub_id, manifest, shard, now_ms, trial
+            ),
+            max_silence_ms=MAX_SILENCE_MS,
+        )
+        if exchange.on_reply is not None:
+            self._exchange = exchange
+
+    def _on_reply(
+        self, reply, row, sub_id, manifest, shard, started_ms, trial
+    ) -> None:
+        backends = self._backends
+        now_ms = backends.clock.now_ms()
+        state = reply.headers.get("x-state")
+        if state is not None and state != "serving":
+            backends.on_state(row.name, state)
+        records = self._accept(reply, sub_id, manifest.snapshot, shard)
+        if records is not None:
+            backends.chooser.finished(
+                row.name,
+                now_ms - started_ms,
+                True,
+                now_ms,
+                backends_lib.busy_slots(reply),
+            )
+            self._end_trial(trial, "passed", None)
+            self._on_result(manifest, shard, records)
+            return
+        if backends_lib.not_started(reply):
+            self._exchange = None
+            if reply.failure is None:
+                backends.chooser.shed(row.name, now_ms)
+            else:
+                backends.chooser.finished(
+                    row.name, now_ms - started_ms, False, now_ms, None
+                )
+            if self._answered:
+                # The caller was told unknown; now it is known not to run.
+                self._end_trial(trial, "not_run", None)
+                self._settle("not_run")
+            else:
+                self._dispatch(trial)
+            return
+        backends.chooser.finished(
+            row.name, now_ms - started_ms, False, now_ms, None
+        )
+        if reply.failure is http_client.Failure.CONNECTION_LOST:
+            backends.guard.record_loss(self._request, row)
+            self._end_trial(trial, "lost", row)
+        else:
+            self._end_trial(trial, "not_run", None)
+        self._settle("unknown")
+        self._unknown(f"backend server {row.name} did not answer")
+
+    @staticmethod
+    def _accept(reply, sub_id: str, snapshot: int, shard: int):
+        """Returns the records of a reply that is truly for this request."""
+        if reply.status != 200:
+            return None
+        try:
+            data = json.loads(reply.body)
+            matches = (
+                data["request_id"] == sub_id
+                and data["snapshot"] == snapshot
+                and data["shard"] == shard
+            )
+            return data["records"] if matches else None
+        except (ValueError, KeyError, TypeError):
+            return None
+
+    def _on_result(self, manifest, shard: int, records: list) -> None:
+        done = answer_lib.Done(
+            request=self._request,
+            configuration_number=self._configuration_number,
+            snapshot=manifest.snapshot,
+            coverage=snapshot_lib.coverage(manifest, (shard,)),
+            records=tuple(records),
+        )
+        self._settle("done", answer_lib.render(done).body)
+        self._answer(done)
+
+    # Ending.
+
+    def _on_deadline(self) -> None:
+        if self._answered:
+            return
+        source = self._request.request_id
+        if self._exchange is None or not self._exchange.sent:
+            if self._exchange is not None:
+                # It waits for a connection; nothing was sent, nor will be.
+                self._exchange.abandon()
+            # A claim that is granted only later is settled then.
+            if self._claim is not None:
+                self._settle("not_run")
+            self._not_run(errors.DeadlineExceeded(source=source))
+            return
+        self._unknown("the backend server has not answered in time")
+        self._backends.timers.after(LATE_REPLY_MS, self._give_up)
+
+    def _give_up(self) -> None:
+        if not self._settled:
+            self._settle("unknown")
+            if self._exchange is not None:
+                self._exchange.abandon()
+
+    def _settle(self, outcome: str, body: bytes = b"") -> None:
+        if not self._settled:
+            self._settled = True
+            self._claims.settle(self._claim, outcome, body)
+
+    def _end_trial(self, trial: bool, outcome: str, row) -> None:
+        if trial:
+            self._backends.guard.end_trial(self._request, outcome, row)
+
+    def _not_run(self, error: errors.Error) -> None:
+        self._answer(answer_lib.NotRun(self._request.request_id, error))
+
+    def _unknown(self, detail: str) -> None:
+        source = self._request.request_id
+        error = errors.OutcomeUnknown(detail, source)
+        self._answer(answer_lib.Unknown(source, error))
+
+    def _answer(self, answer: answer_lib.Answer) -> None:
+        if self._answered:
+            return
+        self._answered = True
+        self._deadline_timer.cancel()
+        self._on_done(answer)
+
+    def _time_left_ms(self) -> float:
+        now_ms = self._backends.clock.now_ms()
+        return self._request.deadline_at_ms - now_ms
