Add the first version of the policy modules

Cause: the entry needs the decision modules with fixed interfaces.

Ruled out: reported load as an input of replica choice (it lags or misleads); a percentile per call (hdrhistogram needs about 100 us to read one); a leaky balance per rank (it gives small limits more than the floor).

Conclusion: the interfaces can be merged.

--- /dev/null
+++ b/auburnway/policy/baselines.py
@@ -0,0 +1,210 @@
+"""Simple policies to compare with: the usual defaults of such a tier.
+
+They have the interfaces of the policies that they replace, so that the bench
+chooses them by name.
+"""
+
+import collections
+from collections import abc
+import random
+
+from auburnway.core import configuration
+from auburnway.core import membership
+from auburnway.kernel import registry
+from auburnway.policy import admission
+
+FIXED_TIMEOUT_MS = 100.0
+
+
+@registry.register("replica_choice", "round_robin")
+class RoundRobin:
+    """Takes the candidates in turn, whatever their state."""
+
+    def __init__(self, rng: random.Random, data_center: str):
+        del rng, data_center
+        self._turn = 0
+        self._in_flight: dict[str, int] = collections.defaultdict(int)
+
+    def choose(
+        self,
+        candidates: abc.Sequence[membership.Row],
+        exclude: abc.Container[str],
+        now_ms: float,
+    ) -> membership.Row | None:
+        """Returns the next candidate that is not excluded, or None."""
+        del now_ms
+        for _ in candidates:
+            self._turn += 1
+            row = candidates[self._turn % len(candidates)]
+            if row.name not in exclude:
+                return row
+        return None
+
+    def started(self, name: str, now_ms: float) -> None:
+        """Counts a sub-request in flight."""
+        del now_ms
+        self._in_flight[name] += 1
+
+    def finished(
+        self,
+        name: str,
+        latency_ms: float,
+        ok: bool,
+        now_ms: float,
+        reported_busy_slots: int | None = None,
+    ) -> None:
+        """Counts a reply."""
+        del latency_ms, ok, reported_busy_slots
+        self.abandoned(name, now_ms)
+
+    def abandoned(self, name: str, now_ms: float) -> None:
+        """Counts a sub-request that was given up."""
+        del now_ms
+        self._in_flight[name] = max(0, self._in_flight[name] - 1)
+
+    def shed(self, name: str, now_ms: float) -> None:
+        """Counts a refused sub-request."""
+        self.abandoned(name, now_ms)
+
+    def in_flight(self, name: str) -> int:
+        """Returns the number of this entry's sub-requests there."""
+        return self._in_flight.get(name, 0)
+
+    def latency_ms(self, name: str) -> float:
+        """Returns 0: latency is not measured."""
+        del name
+        return 0.0
+
+    def added(self, name: str, now_ms: float) -> None:
+        """Does nothing: there is no ramp."""
+
+    def forget(self, name: str) -> None:
+        """Drops the count of a backend server that is gone."""
+        self._in_flight.pop(name, None)
+
+
+@registry.register("hedging", "none")
+class NoHedger:
+    """Never sends a sub-request a second time."""
+
+    max_extra = 0
+    budgeted = True
+
+    def observe(
+        self, application: str, latency_ms: float, now_ms: float
+    ) -> None:
+        """Does nothing."""
+
+    def delay_ms(self, application: str) -> float | None:
+        """Returns None: no hedge."""
+        del application
+
+
+@registry.register("hedging", "fixed_timeout")
+class FixedTimeout(NoHedger):
+    """Gives up after a fixed timeout and sends again, up to three times.
+
+    The fan-out reads `max_extra` (extra sends per sub-request), `budgeted`
+    (False: no token of the retry budget is asked for) and `cancels_previous`
+    (True: the earlier attempt is cancelled when the next one is sent). The
+    other hedgers have no `cancels_previous`, which means False.
+    """
+
+    max_extra = 3
+    budgeted = False
+    cancels_previous = True
+
+    def delay_ms(self, application: str) -> float | None:
+        """Returns the fixed timeout."""
+        del application
+        return FIXED_TIMEOUT_MS
+
+
+@registry.register("admission", "first_come")
+class FirstCome:
+    """One queue for all ranks, in order of arrival, until it is full."""
+
+    def __init__(
+        self,
+        configuration_ranks: abc.Sequence[configuration.Rank],
+        caller_shares: abc.Mapping[str, float],
+        now_ms: float,
+    ):
+        del now_ms
+        self._limit = 1.0
+        self._in_flight: dict[str, str] = {}
+        # Rank and deadline by identifier, in order of arrival.
+        self._queue: dict[str, tuple[str, float]] = {}
+        self._queue_limit = 0
+        self._ranks: tuple[str, ...] = ()
+        self.reconfigure(configuration_ranks, caller_shares)
+
+    def offer(
+        self,
+        request_id: str,
+        rank: str,
+        caller: str,
+        deadline_at_ms: float,
+        now_ms: float,
+    ) -> admission.Admitted | admission.Queued | admission.Refused:
+        """Admits while permits are free, then queues up to the limit."""
+        del caller, now_ms
+        if rank not in self._ranks:
+            return admission.Refused(
+                admission.MAX_RETRY_AFTER_MS, "unknown_rank"
+            )
+        if not self._queue and len(self._in_flight) < int(self._limit):
+            self._in_flight[request_id] = rank
+            return admission.ADMITTED
+        if len(self._queue) >= self._queue_limit:
+            return admission.Refused(
+                admission.MIN_RETRY_AFTER_MS, "queue_limit"
+            )
+        self._queue[request_id] = (rank, deadline_at_ms)
+        return admission.QUEUED
+
+    def finish(self, request_id: str, now_ms: float) -> None:
+        """Frees the permit of a query."""
+        del now_ms
+        self._in_flight.pop(request_id, None)
+
+    def cancel(self, request_id: str) -> None:
+        """Removes a query, whether it waits or runs."""
+        self._queue.pop(request_id, None)
+        self._in_flight.pop(request_id, None)
+
+    def poll(
+        self, now_ms: float
+    ) -> tuple[tuple[str, ...], tuple[tuple[str, str], ...]]:
+        """Starts queries in order; drops those past their deadline."""
+        started = []
+        dropped = []
+        while self._queue and len(self._in_flight) < int(self._limit):
+            request_id = next(iter(self._queue))
+            rank, deadline_at_ms = self._queue.pop(request_id)
+            if deadline_at_ms <= now_ms:
+                dropped.append((request_id, "deadline"))
+                continue
+            self._in_flight[request_id] = rank
+            started.append(request_id)
+        return tuple(started), tuple(dropped)
+
+    def set_limit(self, permits: float) -> None:
+        """Sets the concurrency limit, at least one permit."""
+        self._limit = max(1.0, permits)
+
+    def demand(self) -> dict[str, tuple[int, int]]:
+        """Returns (waiting, in flight) by rank name."""
+        waiting = collections.Counter(rank for rank, _ in self._queue.values())
+        running = collections.Counter(self._in_flight.values())
+        return {rank: (waiting[rank], running[rank]) for rank in self._ranks}
+
+    def reconfigure(
+        self,
+        ranks: abc.Sequence[configuration.Rank],
+        caller_shares: abc.Mapping[str, float],
+    ) -> None:
+        """Puts other ranks in force; shares are not used."""
+        del caller_shares
+        self._ranks = tuple(rank.name for rank in ranks)
+        self._queue_limit = sum(rank.queue_limit for rank in ranks)
--- /dev/null
+++ b/auburnway/policy/hedging.py
@@ -0,0 +1,87 @@
+"""When to send a sub-request a second time.
+
+A hedge is a duplicate sub-request to another replica. It is sent once the
+first has waited longer than the 95th percentile of the application's
+sub-requests, so at most about one in twenty is duplicated.
+"""
+
+from hdrh import histogram
+
+from auburnway.kernel import registry
+
+QUANTILE_PERCENT = 95.0
+# Samples older than this are forgotten.
+WINDOW_MS = 10_000.0
+# Below this the 95th percentile rests on fewer than five slow samples.
+MIN_SAMPLES = 100
+# Reading a percentile costs about 100 µs, so it is read rarely.
+REFRESH_MS = 250.0
+# Range and precision of the histogram, in µs: two significant digits.
+_MIN_US = 1
+_MAX_US = 60_000_000
+_DIGITS = 2
+
+
+class _Window:
+    """Latencies of one application over a sliding window.
+
+    Two histograms record every sample and are cleared in turn, half a window
+    apart. The one cleared earlier holds the last half to whole window.
+    """
+
+    def __init__(self, now_ms: float):
+        self.older = histogram.HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
+        self.newer = histogram.HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
+        self.swap_at_ms = now_ms + WINDOW_MS / 2
+        self.refresh_at_ms = now_ms
+        self.delay_ms: float | None = None
+
+    def refresh(self, now_ms: float) -> None:
+        """Forgets old samples and reads the percentile."""
+        self.refresh_at_ms = now_ms + REFRESH_MS
+        if now_ms >= self.swap_at_ms:
+            self.older.reset()
+            if now_ms >= self.swap_at_ms + WINDOW_MS / 2:
+                # The pause was longer than the window: all is old.
+                self.newer.reset()
+            self.older, self.newer = self.newer, self.older
+            self.swap_at_ms = now_ms + WINDOW_MS / 2
+        if self.older.get_total_count() >= MIN_SAMPLES:
+            value_us = self.older.get_value_at_percentile(QUANTILE_PERCENT)
+            self.delay_ms = value_us / 1000.0
+        else:
+            self.delay_ms = None
+
+
+@registry.register("hedging", "quantile")
+class Hedger:
+    """Hedges after the observed 95th percentile.
+
+    Attributes:
+      max_extra: Greatest number of extra sends per sub-request.
+      budgeted: Whether an extra send needs a token of the retry budget.
+    """
+
+    max_extra = 1
+    budgeted = True
+
+    def __init__(self):
+        self._windows: dict[str, _Window] = {}
+
+    def observe(
+        self, application: str, latency_ms: float, now_ms: float
+    ) -> None:
+        """Records the latency of one finished sub-request."""
+        window = self._windows.get(application)
+        if window is None:
+            window = self._windows[application] = _Window(now_ms)
+        value_us = min(max(int(latency_ms * 1000.0), _MIN_US), _MAX_US)
+        if now_ms >= window.refresh_at_ms:
+            window.refresh(now_ms)
+        window.older.record_value(value_us)
+        window.newer.record_value(value_us)
+
+    def delay_ms(self, application: str) -> float | None:
+        """Returns how long to wait before a hedge; None: do not hedge."""
+        window = self._windows.get(application)
+        return window.delay_ms if window is not None else None
--- /dev/null
+++ b/auburnway/policy/retry_budget.py
@@ -0,0 +1,53 @@
+"""One budget for all extra load: hedges and retries.
+
+Each sub-request earns a small part of a token and each extra send spends a
+whole one, so extra load is a bounded share of the load itself. While admission
+queues nothing is earned: spare capacity is then worth more to waiting work.
+"""
+
+
+class Budget:
+    """Token bucket that is filled by sub-requests."""
+
+    def __init__(self, share: float = 0.05, burst: float = 20.0):
+        """Creates an empty bucket.
+
+        It starts empty, so that extra sends never exceed the share, not even
+        shortly after a start.
+
+        Args:
+          share: Tokens earned by a sub-request; extra load per load.
+          burst: Greatest number of tokens kept. Tokens earned in calm would
+            otherwise be spent together in a flood.
+        """
+        self._share = share
+        self._burst = burst
+        self._tokens = 0.0
+        self._is_overloaded = False
+
+    def on_sub_request(self) -> None:
+        """Earns for one first send of a sub-request."""
+        if self._is_overloaded:
+            return
+        tokens = self._tokens + self._share
+        self._tokens = tokens if tokens < self._burst else self._burst
+
+    def try_spend(self, now_ms: float) -> bool:
+        """Takes one token.
+
+        Args:
+          now_ms: Present instant; this bucket refills by load, not by time.
+
+        Returns:
+          True when the extra send is allowed.
+        """
+        del now_ms
+        # Sums of 0.05 fall short of a whole token by rounding.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def set_overloaded(self, is_overloaded: bool) -> None:
+        """Stops or resumes earning; true while admission queues."""
+        self._is_overloaded = is_overloaded
