--- /dev/null
+++ b/auburnway/core/note.py
@@ -0,0 +1,446 @@
+"""Release notes: the documents by which operators change the configuration.
+
+A release note is TOML and is applied whole or not at all. All of its errors
+are reported at once: `parse` fails only on text that is no TOML, and keeps
+wrong values as problems of the note, which `check` reports together with what
+contradicts the configuration in force.
+
+Parsing and checking run inside the replicated state machine, so that they
+depend on nothing but their arguments.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+import json
+import tomllib
+import typing
+
+from returns import result
+
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+from auburnway.core import note_errors
+from auburnway.core import note_items
+
+ACTIONS = ("add", "change", "withdraw")
+MAX_TEXT_BYTES = 1 << 20
+# tomllib recurses per bracket, and a RecursionError depends on the depth of
+# the caller's stack; the limit keeps the verdict equal on all replicas.
+MAX_NESTING = 50
+MAX_NUMBER = 1 << 53
+MAX_LINE_LENGTH = 300
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """One table of a release note.
+
+    Attributes:
+      action: One of `ACTIONS`.
+      item: Item type.
+      name: Name of the item.
+      values: Pairs of key and valid value, sorted, without the name.
+      complete: Whether an `add` has all required keys with valid values.
+    """
+
+    action: str
+    item: str
+    name: str
+    values: tuple[tuple[str, typing.Any], ...]
+    complete: bool = True
+
+    def source(self, key: str = "") -> str:
+        """Returns the place that errors name."""
+        place = f'{self.action}.{self.item} "{self.name}"'
+        return f"{place}: {key}" if key else place
+
+
+@dataclasses.dataclass(frozen=True)
+class Note:
+    """A release note.
+
+    Attributes:
+      number: The number in force plus one.
+      author: Who wrote it.
+      summary: Why, in one line.
+      entries: What it adds, changes and withdraws.
+      problems: Wrong keys and values; `check` reports them.
+    """
+
+    number: int
+    author: str
+    summary: str
+    entries: tuple[Entry, ...]
+    problems: tuple[errors.Error, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One difference of two configurations.
+
+    Attributes:
+      action: One of `ACTIONS`.
+      item: Item type.
+      name: Name of the item.
+      before: `key=value` pairs that end; empty for an addition.
+      after: `key=value` pairs that begin; empty for a withdrawal.
+    """
+
+    action: str
+    item: str
+    name: str
+    before: str
+    after: str
+
+
+def parse(
+    text: str, source: str
+) -> result.Result[Note, tuple[errors.Error, ...]]:
+    """Reads a release note.
+
+    Args:
+      text: TOML text.
+      source: File name or other origin, for messages.
+
+    Returns:
+      The note, which may carry problems, or why the text is unreadable.
+    """
+    if len(text.encode("utf-8", "replace")) > MAX_TEXT_BYTES:
+        detail = f"the text exceeds {MAX_TEXT_BYTES} bytes"
+        return result.Failure((note_errors.BadNote(detail, source),))
+    if _nesting(text) > MAX_NESTING:
+        detail = f"brackets are nested deeper than {MAX_NESTING}"
+        return result.Failure((note_errors.BadNote(detail, source),))
+    try:
+        data = tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        return result.Failure(
+            (note_errors.BadNote(f"not TOML: {error}", source),)
+        )
+    problems: list[errors.Error] = []
+    number = data.pop("number", None)
+    if type(number) is not int or not 1 <= number <= MAX_NUMBER:
+        detail = f"value {note_items.shown(number)} is not a positive integer"
+        problems.append(note_errors.BadValue(detail, "number"))
+        number = 0
+    author = _line(data, "author", problems)
+    summary = _line(data, "summary", problems)
+    entries: list[Entry] = []
+    for action in ACTIONS:
+        _read_action(action, data.pop(action, {}), entries, problems)
+    for key in sorted(data):
+        known = ", ".join(("number", "author", "summary", *ACTIONS))
+        detail = f"unknown key {note_items.shown(key)}; known: {known}"
+        problems.append(note_errors.BadValue(detail, "release note"))
+    return result.Success(
+        Note(number, author, summary, tuple(entries), tuple(problems))
+    )
+
+
+def digest(note: Note) -> str:
+    """Returns the SHA-256 of what the note says, not of its layout."""
+    entries = sorted(
+        [entry.action, entry.item, entry.name, list(entry.values)]
+        for entry in note.entries
+    )
+    content = [note.number, note.author, note.summary, entries]
+    text = json.dumps(content, sort_keys=True, ensure_ascii=True)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def check(
+    configuration: configuration_lib.Configuration,
+    note: Note,
+    policy_values: abc.Mapping[str, abc.Collection[str]] | None = None,
+) -> tuple[errors.Error, ...]:
+    """Checks a note against the configuration in force.
+
+    Args:
+      configuration: Configuration in force.
+      note: Note that would be applied to it.
+      policy_values: Plug-in names by decision. The replicated state passes
+        none, because the plug-ins of instances may differ during an upgrade;
+        control passes them before it proposes the note.
+
+    Returns:
+      All errors; empty when the note may be accepted.
+    """
+    found = list(note.problems)
+    expected = configuration.number + 1
+    if note.number and note.number != expected:
+        detail = (
+            f"number {note.number} does not follow the number in force"
+            f" {configuration.number}; expected {expected}"
+        )
+        found.append(note_errors.WrongNumber(detail, "number"))
+    seen = set()
+    for entry in note.entries:
+        key = (entry.item, entry.name)
+        present = configuration.find(*key) is not None
+        if key in seen:
+            detail = f"{entry.item} {entry.name!r} occurs more than once"
+            found.append(note_errors.DuplicateName(detail, entry.source()))
+        elif entry.action == "add" and present:
+            detail = f"{entry.item} {entry.name!r} is in force"
+            found.append(note_errors.AlreadyPresent(detail, entry.source()))
+        elif entry.action != "add" and not present:
+            detail = f"{entry.item} {entry.name!r} is not in force"
+            found.append(note_errors.NotPresent(detail, entry.source()))
+        seen.add(key)
+    found.extend(_check_references(configuration, note))
+    found.extend(_check_ranks(configuration, note))
+    found.extend(_check_policies(note, policy_values))
+    return tuple(found)
+
+
+def apply(
+    configuration: configuration_lib.Configuration, note: Note
+) -> configuration_lib.Configuration:
+    """Returns the configuration after a note that `check` accepted."""
+    return _changed(configuration, note, digest(note))
+
+
+def diff(
+    old: configuration_lib.Configuration, new: configuration_lib.Configuration
+) -> tuple[Change, ...]:
+    """Returns the differences, by item type and name."""
+    changes = []
+    for item, field in configuration_lib.FIELDS.items():
+        names = {record.name for record in getattr(old, field)}
+        names |= {record.name for record in getattr(new, field)}
+        for name in sorted(names):
+            before, after = old.find(item, name), new.find(item, name)
+            if before == after:
+                continue
+            action = "change"
+            if before is None or after is None:
+                action = "add" if before is None else "withdraw"
+            left, right = _fields(before), _fields(after)
+            changes.append(
+                Change(
+                    action,
+                    item,
+                    name,
+                    _pairs(left, right),
+                    _pairs(right, left),
+                )
+            )
+    return tuple(changes)
+
+
+def _nesting(text: str) -> int:
+    depth = deepest = 0
+    for character in text:
+        if character in "[{":
+            depth += 1
+            deepest = max(deepest, depth)
+        elif character in "]}":
+            depth -= 1
+    return deepest
+
+
+def _line(data, key, problems) -> str:
+    value = data.pop(key, None)
+    if (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_LINE_LENGTH
+        and value.isprintable()
+    ):
+        return value
+    shown = note_items.shown(value)
+    detail = (
+        f"value {shown} is not one line of 1 to {MAX_LINE_LENGTH} characters"
+    )
+    problems.append(note_errors.BadValue(detail, key))
+    return ""
+
+
+def _read_action(action, tables, entries, problems) -> None:
+    if not isinstance(tables, dict):
+        detail = f"{action} is not written as [[{action}.<item>]]"
+        problems.append(note_errors.BadValue(detail, action))
+        return
+    for item, rows in tables.items():
+        place = f"{action}.{item}"
+        if item not in note_items.ITEMS:
+            known = ", ".join(note_items.ITEMS)
+            detail = f"unknown item {note_items.shown(item)}; known: {known}"
+            problems.append(note_errors.BadValue(detail, action))
+        elif not isinstance(rows, list):
+            detail = f"not written as [[{place}]]"
+            problems.append(note_errors.BadValue(detail, place))
+        else:
+            for i, row in enumerate(rows):
+                _read_entry(action, item, i, row, entries, problems)
+
+
+def _read_entry(action, item, position, row, entries, problems) -> None:
+    fields = {field.name: field for field in note_items.ITEMS[item]}
+    place = f"{action}.{item}[{position}]"
+    if not isinstance(row, dict):
+        problems.append(note_errors.BadValue("not a table", place))
+        return
+    name = row.get("name")
+    detail = fields["name"].problem(name)
+    if detail:
+        problems.append(note_errors.BadValue(detail, f"{place}: name"))
+        return
+    values = {}
+    complete = True
+    place = Entry(action, item, name, ()).source()
+    if action == "withdraw":
+        fields = {"name": fields["name"]}
+    for key in sorted(row):
+        if key not in fields:
+            known = ", ".join(fields)
+            detail = f"unknown key {note_items.shown(key)}; known: {known}"
+            problems.append(note_errors.BadValue(detail, place))
+            continue
+        field, value = fields[key], row[key]
+        detail = field.problem(value)
+        if detail:
+            problems.append(note_errors.BadValue(detail, f"{place}: {key}"))
+            complete = False
+        elif key != "name":
+            values[key] = float(value) if field.kind is float else value
+    if action == "add":
+        for key in note_items.required(item):
+            if key not in row:
+                detail = f"required key is absent: {fields[key].allowed}"
+                problems.append(note_errors.BadValue(detail, f"{place}: {key}"))
+                complete = False
+    if action == "change" and len(row) == 1:
+        problems.append(note_errors.BadValue("no key is changed", place))
+    pairs = tuple(sorted(values.items()))
+    entries.append(Entry(action, item, name, pairs, complete))
+
+
+def _changed(configuration, note, note_digest):
+    """Returns the configuration after all entries that can be applied."""
+    items = {
+        (item, record.name): record
+        for item, field in configuration_lib.FIELDS.items()
+        for record in getattr(configuration, field)
+    }
+    for entry in note.entries:
+        key = (entry.item, entry.name)
+        if entry.action == "withdraw":
+            items.pop(key, None)
+        elif entry.action == "change" and key in items:
+            items[key] = dataclasses.replace(items[key], **dict(entry.values))
+        elif entry.action == "add" and entry.complete:
+            record_type = configuration_lib.ITEM_TYPES[entry.item]
+            items[key] = record_type(name=entry.name, **dict(entry.values))
+    fields = {field: [] for field in configuration_lib.FIELDS.values()}
+    for (item, _), record in sorted(items.items(), key=lambda pair: pair[0]):
+        fields[configuration_lib.FIELDS[item]].append(record)
+    return configuration_lib.Configuration(
+        number=note.number,
+        digest=note_digest,
+        **{field: tuple(records) for field, records in fields.items()},
+    )
+
+
+def _check_references(configuration, note):
+    after = _changed(configuration, note, "")
+    # An added item with errors of its own is not reported as absent too.
+    added = {(e.item, e.name) for e in note.entries if e.action == "add"}
+    set_here = set()
+    found = []
+    for entry in note.entries:
+        for field in note_items.ITEMS[entry.item]:
+            value = dict(entry.values).get(field.name)
+            if not field.refers_to or value is None:
+                continue
+            set_here.add((entry.item, entry.name, field.name))
+            target = (field.refers_to, value)
+            if after.find(*target) is None and target not in added:
+                detail = f"{target[0]} {value!r} would not be in force"
+                place = entry.source(field.name)
+                found.append(note_errors.UnknownReference(detail, place))
+    for entry in note.entries:
+        if entry.action != "withdraw":
+            continue
+        for item, field, record in _references(after):
+            if (field.refers_to, getattr(record, field.name)) != (
+                entry.item,
+                entry.name,
+            ):
+                continue
+            if (item, record.name, field.name) not in set_here:
+                detail = f"{item} {record.name!r} uses it"
+                found.append(note_errors.InUse(detail, entry.source()))
+    return found
+
+
+def _references(configuration):
+    """Yields item type, field and record of each reference."""
+    for item, fields in note_items.ITEMS.items():
+        for field in fields:
+            if field.refers_to:
+                for record in getattr(
+                    configuration, configuration_lib.FIELDS[item]
+                ):
+                    yield item, field, record
+
+
+def _check_ranks(configuration, note):
+    if not any(entry.item == "rank" for entry in note.entries):
+        return []
+    ranks = _changed(configuration, note, "").ranks
+    found = []
+    total = sum(rank.floor_share for rank in ranks)
+    # Shares such as 0.1 have no exact binary form, hence the tolerance.
+    if total > 1.0 + 1e-9:
+        listed = ", ".join(f"{r.name} {r.floor_share:g}" for r in ranks)
+        detail = f"floor_share sums to {total:g}, allowed 0 to 1: {listed}"
+        found.append(note_errors.FloorsExceeded(detail, "rank: floor_share"))
+    orders: dict[int, str] = {}
+    for rank in ranks:
+        other = orders.setdefault(rank.order, rank.name)
+        if other != rank.name:
+            detail = f"order {rank.order} is that of {other} and {rank.name}"
+            found.append(note_errors.SameOrder(detail, "rank: order"))
+    return found
+
+
+def _check_policies(note, policy_values):
+    found = []
+    for entry in note.entries:
+        if entry.item != "policy" or policy_values is None:
+            continue
+        if entry.action == "withdraw":
+            continue
+        if entry.name not in policy_values:
+            known = ", ".join(sorted(policy_values))
+            detail = f"no decision {entry.name!r}; known: {known}"
+            found.append(
+                note_errors.UnknownPolicy(detail, entry.source("name"))
+            )
+            continue
+        value = dict(entry.values).get("value")
+        known_values = policy_values[entry.name]
+        if value is not None and value not in known_values:
+            known = ", ".join(sorted(known_values))
+            detail = f"no plug-in {value!r}; known: {known}"
+            found.append(
+                note_errors.UnknownPolicy(detail, entry.source("value"))
+            )
+    return found
+
+
+def _fields(record) -> dict[str, typing.Any]:
+    if record is None:
+        return {}
+    values = dataclasses.asdict(record)
+    del values["name"]
+    return values
+
+
+def _pairs(values, other) -> str:
+    return " ".join(
+        f"{key}={json.dumps(value)}"
+        for key, value in values.items()
+        if key not in other or other[key] != value
+    )
--- /dev/null
+++ b/auburnway/core/note_errors.py
@@ -0,0 +1,117 @@
+"""Error kinds of release notes: why one is refused and what to do."""
+
+from auburnway.core import errors
+
+
+class BadNote(errors.Error):
+    """The text is no readable release note."""
+
+    code = "bad_note"
+    remedy = "Correct the text as shown in docs/RELEASE-NOTES.md."
+    http_status = 400
+    exit_code = 2
+
+
+class BadValue(errors.Error):
+    """A key is absent, unknown or has a value outside its range."""
+
+    code = "bad_value"
+    remedy = "Use the keys and ranges listed in docs/RELEASE-NOTES.md."
+    http_status = 400
+    exit_code = 2
+
+
+class WrongNumber(errors.Error):
+    """The number is not the one after the number in force."""
+
+    code = "wrong_number"
+    remedy = (
+        "Set `number` to the expected one and run `auburnway-operator plan`"
+        " again."
+    )
+    http_status = 409
+    exit_code = 3
+
+
+class NoteConflict(errors.Error):
+    """Another release note was accepted under this number."""
+
+    code = "note_conflict"
+    remedy = (
+        "Look at the winner with `auburnway-operator diff NUMBER`, give this"
+        " release note the next number and run `auburnway-operator plan`."
+    )
+    http_status = 409
+    exit_code = 3
+
+
+class DuplicateName(errors.Error):
+    """One release note names the same item twice."""
+
+    code = "duplicate_name"
+    remedy = "Keep one entry per item and name; `change` replaces both."
+    http_status = 400
+    exit_code = 2
+
+
+class AlreadyPresent(errors.Error):
+    """An item is added that is in force."""
+
+    code = "already_present"
+    remedy = "Use `change`, or another name."
+    http_status = 409
+    exit_code = 2
+
+
+class NotPresent(errors.Error):
+    """An item is changed or withdrawn that is not in force."""
+
+    code = "not_present"
+    remedy = "Use a name listed by `auburnway-operator show`, or `add` it."
+    http_status = 409
+    exit_code = 2
+
+
+class UnknownReference(errors.Error):
+    """A value names an item that would not be in force."""
+
+    code = "unknown_reference"
+    remedy = "Add the item in the same release note or use a name in force."
+    http_status = 409
+    exit_code = 2
+
+
+class InUse(errors.Error):
+    """An item is withdrawn that others refer to."""
+
+    code = "in_use"
+    remedy = "Change or withdraw its users in the same release note."
+    http_status = 409
+    exit_code = 2
+
+
+class FloorsExceeded(errors.Error):
+    """The floor shares of all ranks sum to more than 1."""
+
+    code = "floors_exceeded"
+    remedy = "Lower floor_share of some ranks until the sum is at most 1."
+    http_status = 409
+    exit_code = 2
+
+
+class SameOrder(errors.Error):
+    """Two ranks have the same order, so neither goes first."""
+
+    code = "same_order"
+    remedy = "Give each rank its own order."
+    http_status = 409
+    exit_code = 2
+
+
+class UnknownPolicy(errors.Error):
+    """No plug-in has this decision or name."""
+
+    code = "unknown_policy"
+    remedy = "Use one of the listed names."
+    http_status = 409
+    exit_code = 2
--- /dev/null
+++ b/auburnway/core/replicated_state.py
@@ -0,0 +1,492 @@
+"""The state that all control instances replicate.
+
+`apply` depends only on the state, the log index and the command, so that every
+replica that applies the same log holds the same state. The state is changed in
+place, because a copy per claim would cost time in proportion to all claims:
+`apply` consumes the state that it is given and returns it. `encode_state` is
+canonical: equal states have equal bytes, whatever order their dictionaries
+were filled in.
+"""
+
+import dataclasses
+import functools
+import json
+
+import msgpack
+from returns import pipeline
+
+from auburnway.core import audit as audit_lib
+from auburnway.core import claims as claims_lib
+from auburnway.core import commands
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+from auburnway.core import note as note_lib
+from auburnway.core import note_errors
+from auburnway.core import trials as trials_lib
+
+AcceptNote = commands.AcceptNote
+RefuseNote = commands.RefuseNote
+Claim = commands.Claim
+Settle = commands.Settle
+Strike = commands.Strike
+GrantTrial = commands.GrantTrial
+EndTrial = commands.EndTrial
+RegisterEntry = commands.RegisterEntry
+RemoveEntry = commands.RemoveEntry
+Tick = commands.Tick
+
+NoteReply = commands.NoteReply
+ClaimReply = commands.ClaimReply
+SettleReply = commands.SettleReply
+TrialReply = commands.TrialReply
+EntryReply = commands.EntryReply
+TickReply = commands.TickReply
+
+encode_command = commands.encode
+decode_command = commands.decode
+
+_FORMAT = 1
+# Bounds what a refused attempt adds to the audit trail.
+_MAX_REASON_LENGTH = 1000
+
+
+class EntryNotRegistered(errors.Error):
+    """The entry's incarnation is not in the entry set."""
+
+    code = "entry_not_registered"
+    remedy = "Renew the lease, which registers the entry, then ask again."
+    http_status = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class Receipt:
+    """Acceptance of one release note."""
+
+    number: int
+    digest: str
+    author: str
+    revision: int
+    accepted_wall_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """A registered entry."""
+
+    name: str
+    incarnation: str
+    data_center: str
+    caller_address: str
+    peer_address: str
+
+
+@dataclasses.dataclass
+class State:
+    """What the log adds up to; owned by one consensus task.
+
+    Attributes:
+      index: Index of the last applied command.
+      wall_ms: Greatest stamp that was applied.
+      retention_ms: Retention of claims, from the last Tick.
+      floor_ms: Keys issued before it are refused; it never falls.
+      configuration: Configuration in force.
+      receipts: Accepted release notes by number.
+      claims: Claims from the floor on.
+      trials: Struck fingerprints.
+      entries: Registered entries by name.
+      audit: Whole audit trail.
+    """
+
+    index: int = 0
+    wall_ms: int = 0
+    retention_ms: int = claims_lib.DEFAULT_RETENTION_MS
+    floor_ms: int = 0
+    configuration: configuration_lib.Configuration = configuration_lib.EMPTY
+    receipts: dict[int, Receipt] = dataclasses.field(default_factory=dict)
+    claims: claims_lib.Book = dataclasses.field(default_factory=claims_lib.Book)
+    trials: trials_lib.Ledger = dataclasses.field(
+        default_factory=trials_lib.Ledger
+    )
+    entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    audit: list[audit_lib.Row] = dataclasses.field(default_factory=list)
+
+    @property
+    def revision(self) -> int:
+        """Revision of the last row of the audit trail."""
+        return len(self.audit)
+
+
+# The start of every log. `apply` copies it, so that it stays empty.
+EMPTY_STATE = State()
+
+
+def apply(
+    state: State, index: int, command: commands.Command
+) -> tuple[State, commands.Reply]:
+    """Applies one command of the log.
+
+    Args:
+      state: State after all earlier commands; not to be used afterwards.
+      index: Log index of the command.
+      command: The command.
+
+    Returns:
+      The state after the command, and the reply to whoever proposed it.
+
+    Raises:
+      ValueError: The index was applied before.
+    """
+    if state is EMPTY_STATE:
+        state = State()
+    if index <= state.index:
+        raise ValueError(f"index {index} follows applied index {state.index}")
+    state.index = index
+    # Stamps of a new leader may lie before those of the old one.
+    state.wall_ms = max(state.wall_ms, command.wall_ms)
+    if isinstance(command, commands.Tick):
+        state.retention_ms = command.claim_retention_ms
+    state.floor_ms = max(state.floor_ms, state.wall_ms - state.retention_ms)
+    state.claims.prune(state.floor_ms)
+    return state, _apply(command, state)
+
+
+@functools.singledispatch
+def _apply(command, state: State) -> commands.Reply:
+    raise TypeError(f"unknown command {type(command).__name__}")
+
+
+@_apply.register
+def _accept_note(command: commands.AcceptNote, state: State):
+    parsed = note_lib.parse(command.text, "release note")
+    if not pipeline.is_successful(parsed):
+        return _refuse(state, command, 0, "", parsed.failure())
+    note = parsed.unwrap()
+    digest = note_lib.digest(note)
+    found = check_note(state, note)
+    if found:
+        return _refuse(state, command, note.number, digest, found)
+    receipt = state.receipts.get(note.number)
+    if receipt is not None:
+        return commands.NoteReply(
+            number=receipt.number,
+            digest=receipt.digest,
+            revision=receipt.revision,
+            accepted_wall_ms=receipt.accepted_wall_ms,
+            repeated_submission=True,
+        )
+    old, state.configuration = (
+        state.configuration,
+        note_lib.apply(state.configuration, note),
+    )
+    changes = note_lib.diff(old, state.configuration)
+    detail = json.dumps(
+        {
+            "summary": note.summary,
+            "changes": [dataclasses.asdict(change) for change in changes],
+        }
+    )
+    author = command.author or note.author
+    row = _record(
+        state, author, "note", "accepted", detail, note.number, digest
+    )
+    receipt = Receipt(note.number, digest, author, row.revision, state.wall_ms)
+    state.receipts[note.number] = receipt
+    return commands.NoteReply(
+        number=note.number,
+        digest=digest,
+        revision=row.revision,
+        accepted_wall_ms=state.wall_ms,
+    )
+
+
+def check_note(
+    state: State,
+    note: note_lib.Note,
+    policy_values=None,
+) -> tuple[errors.Error, ...]:
+    """Returns why a note would be refused now; empty also for a resend.
+
+    Args:
+      state: State to check against; not changed.
+      note: Parsed release note.
+      policy_values: Plug-in names by decision, as in `core.note.check`.
+    """
+    receipt = state.receipts.get(note.number)
+    if receipt is None:
+        return note_lib.check(state.configuration, note, policy_values)
+    if note.problems:
+        # The digest covers only what could be read, so that a text with an
+        # error may have the digest of the accepted one.
+        return note.problems
+    if receipt.digest == note_lib.digest(note):
+        return ()
+    detail = (
+        f"number {receipt.number} was accepted from {receipt.author} with"
+        f" digest {receipt.digest}"
+    )
+    return (note_errors.NoteConflict(detail, "number"),)
+
+
+def _refuse(state, command, number, digest, found):
+    # Messages of the TOML parser may differ between Python versions, so that
+    # only codes and places go into the trail that all replicas share.
+    reason = "; ".join(f"{error.code} ({error.source})" for error in found)
+    row = _record(
+        state, command.author, "note", "refused", reason, number, digest
+    )
+    return commands.NoteReply(
+        errors=found, number=number, digest=digest, revision=row.revision
+    )
+
+
+@_apply.register
+def _refuse_note(command: commands.RefuseNote, state: State):
+    row = _record(
+        state,
+        command.author,
+        "note",
+        "refused",
+        command.reason,
+        command.number,
+        command.digest,
+    )
+    return commands.NoteReply(
+        number=command.number, digest=command.digest, revision=row.revision
+    )
+
+
+@_apply.register
+def _claim(command: commands.Claim, state: State):
+    issued_ms, problem = claims_lib.check_key(command.key, state.wall_ms)
+    if problem is not None:
+        return commands.ClaimReply(error=problem)
+    if issued_ms < state.floor_ms:
+        return commands.ClaimReply(state="expired")
+    owner = (command.entry_name, command.entry_incarnation)
+    known = state.claims.find(command.caller, command.key)
+    may_be_granted = known is None or known.state == "not_run"
+    if may_be_granted and not _is_registered(state, owner):
+        # Nobody would learn that the owner has vanished, so that the claim
+        # could stay open for ever.
+        detail = f"entry {owner[0]} with incarnation {owner[1]}"
+        return commands.ClaimReply(error=EntryNotRegistered(detail))
+    found, record = state.claims.claim(
+        claims_lib.Record(
+            claim_id=state.index,
+            caller=command.caller,
+            key=command.key,
+            digest=command.digest,
+            entry_name=command.entry_name,
+            entry_incarnation=command.entry_incarnation,
+        )
+    )
+    is_done = found == "done"
+    return commands.ClaimReply(
+        state=found,
+        claim_id=record.claim_id,
+        attempt=record.attempt,
+        result=record.result if is_done else b"",
+        result_dropped=is_done and record.result_dropped,
+    )
+
+
+@_apply.register
+def _settle(command: commands.Settle, state: State):
+    found, problem = state.claims.settle(
+        command.claim_id,
+        command.attempt,
+        command.entry_incarnation,
+        command.outcome,
+        command.result,
+    )
+    return commands.SettleReply(error=problem, state=found)
+
+
+@_apply.register
+def _strike(command: commands.Strike, state: State):
+    server = (command.backend_server, command.backend_incarnation)
+    state.trials.strike(command.fingerprint, server, state.wall_ms)
+    return _trial_reply(state, command.fingerprint)
+
+
+@_apply.register
+def _grant_trial(command: commands.GrantTrial, state: State):
+    owner = (command.entry_name, command.entry_incarnation)
+    found = state.trials.state(command.fingerprint, state.wall_ms)
+    if found == "trial_required" and not _is_registered(state, owner):
+        detail = f"entry {owner[0]} with incarnation {owner[1]}"
+        return commands.TrialReply(error=EntryNotRegistered(detail))
+    found = state.trials.grant(command.fingerprint, owner, state.wall_ms)
+    return _trial_reply(state, command.fingerprint, found)
+
+
+@_apply.register
+def _end_trial(command: commands.EndTrial, state: State):
+    if command.outcome not in trials_lib.OUTCOMES:
+        detail = (
+            f"outcome {command.outcome!r:.50} is none of {trials_lib.OUTCOMES}"
+        )
+        return commands.TrialReply(error=errors.BadRequest(detail))
+    is_refused = state.trials.end(
+        command.fingerprint,
+        command.entry_incarnation,
+        command.outcome,
+        (command.backend_server, command.backend_incarnation),
+        state.wall_ms,
+    )
+    if is_refused:
+        _record_quarantine(state, command.fingerprint)
+    return _trial_reply(state, command.fingerprint)
+
+
+def _trial_reply(state, fingerprint, found=""):
+    record = state.trials.find(fingerprint)
+    return commands.TrialReply(
+        state=found or state.trials.state(fingerprint, state.wall_ms),
+        strikes=len(record.struck),
+        refused_until_wall_ms=record.refused_until_wall_ms,
+    )
+
+
+@_apply.register
+def _register_entry(command: commands.RegisterEntry, state: State):
+    entry = Entry(
+        name=command.name,
+        incarnation=command.incarnation,
+        data_center=command.data_center,
+        caller_address=command.caller_address,
+        peer_address=command.peer_address,
+    )
+    present = state.entries.get(entry.name)
+    if present == entry:
+        return commands.EntryReply()
+    state.entries[entry.name] = entry
+    detail = f"incarnation {entry.incarnation} at {entry.caller_address}"
+    _record(state, entry.name, "register_entry", "accepted", detail)
+    if present is None or present.incarnation == entry.incarnation:
+        return commands.EntryReply(changed=True)
+    return _abandon(state, present)
+
+
+@_apply.register
+def _remove_entry(command: commands.RemoveEntry, state: State):
+    present = state.entries.get(command.name)
+    if present is None or present.incarnation != command.incarnation:
+        # A late removal must not remove the next incarnation.
+        return commands.EntryReply()
+    del state.entries[command.name]
+    detail = f"incarnation {command.incarnation}"
+    _record(state, command.name, "remove_entry", "accepted", detail)
+    return _abandon(state, present)
+
+
+def _abandon(state: State, entry: Entry):
+    owner = (entry.name, entry.incarnation)
+    count = state.claims.abandon(*owner)
+    lost = state.trials.abandon(owner, state.wall_ms)
+    for fingerprint in lost:
+        _record_quarantine(state, fingerprint)
+    return commands.EntryReply(True, count, len(lost))
+
+
+@_apply.register
+def _tick(command: commands.Tick, state: State):
+    state.trials.prune(state.wall_ms)
+    return commands.TickReply(floor_ms=state.floor_ms)
+
+
+def _is_registered(state: State, owner: tuple[str, str]) -> bool:
+    entry = state.entries.get(owner[0])
+    return entry is not None and entry.incarnation == owner[1]
+
+
+def _record_quarantine(state: State, fingerprint: str) -> None:
+    record = state.trials.find(fingerprint)
+    servers = ", ".join(name for name, _ in record.struck)
+    detail = f"until {record.refused_until_wall_ms}; lost: {servers}"
+    _record(
+        state,
+        "control",
+        "quarantine",
+        "accepted",
+        detail,
+        digest=fingerprint,
+    )
+
+
+def _record(
+    state: State,
+    author: str,
+    action: str,
+    result: str,
+    detail: str,
+    number: int = 0,
+    digest: str = "",
+) -> audit_lib.Row:
+    if result == "refused" and len(detail) > _MAX_REASON_LENGTH:
+        detail = detail[:_MAX_REASON_LENGTH] + "..."
+    return audit_lib.append(
+        state.audit,
+        audit_lib.Row(
+            revision=0,
+            wall_ms=state.wall_ms,
+            author=author,
+            action=action,
+            number=number,
+            digest=digest,
+            result=result,
+            detail=detail,
+        ),
+    )
+
+
+def encode_state(state: State) -> bytes:
+    """Returns the canonical msgpack form of a state."""
+    return msgpack.packb(
+        [
+            _FORMAT,
+            state.index,
+            state.wall_ms,
+            state.retention_ms,
+            state.floor_ms,
+            configuration_lib.encode(state.configuration),
+            _rows(state.receipts[n] for n in sorted(state.receipts)),
+            _rows(state.claims.records()),
+            _rows(state.trials.records()),
+            _rows(state.entries[name] for name in sorted(state.entries)),
+            _rows(state.audit),
+        ]
+    )
+
+
+def decode_state(data: bytes) -> State:
+    """Returns the state of its msgpack form.
+
+    Raises:
+      ValueError, TypeError: The bytes are no state of this format.
+    """
+    version, *fields = msgpack.unpackb(data, use_list=False)
+    if version != _FORMAT:
+        raise ValueError(f"state has format {version}, expected {_FORMAT}")
+    index, wall_ms, retention_ms, floor_ms, configuration, *tables = fields
+    receipts, claim_rows, trial_rows, entries, rows = tables
+    return State(
+        index=index,
+        wall_ms=wall_ms,
+        retention_ms=retention_ms,
+        floor_ms=floor_ms,
+        configuration=configuration_lib.decode(configuration),
+        receipts={row[0]: Receipt(*row) for row in receipts},
+        claims=claims_lib.Book(claims_lib.Record(*row) for row in claim_rows),
+        trials=trials_lib.Ledger(trials_lib.Record(*row) for row in trial_rows),
+        entries={row[0]: Entry(*row) for row in entries},
+        audit=[audit_lib.Row(*row) for row in rows],
+    )
+
+
+def _rows(records) -> list[list]:
+    # dataclasses.astuple copies deeply and takes several times as long.
+    return [
+        [getattr(record, field.name) for field in dataclasses.fields(record)]
+        for record in records
+    ]
