Let a claim name its owner, and the fan-out follow the hedging policy

Cause: a grant whose reply was lost left its claim open for ever, although the entry knows that it dispatched nothing; and the fixed-timeout baseline needs up to three sends without a budget. Ruled out: settling by key alone; another entry could then settle a claim that it does not hold. Conclusion: the owner's incarnation in the reply lets the owner find its own claim and settle it as not run.

--- a/auburnway/core/commands.py
+++ b/auburnway/core/commands.py
@@ -173,6 +173,7 @@
       attempt: Its current attempt.
       result: Recorded answer when `done`.
       result_dropped: Whether the answer was too large to keep.
+      entry_incarnation: Incarnation of the entry that holds the attempt.
     """
 
     error: errors_lib.Error | None = None
@@ -181,6 +182,7 @@
     attempt: int = 0
     result: bytes = b""
     result_dropped: bool = False
+    entry_incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/auburnway/core/replicated_state.py
+++ b/auburnway/core/replicated_state.py
@@ -287,6 +287,7 @@
         attempt=record.attempt,
         result=record.result if is_done else b"",
         result_dropped=is_done and record.result_dropped,
+        entry_incarnation=record.entry_incarnation,
     )
 
 
--- a/auburnway/entry/claim_client.py
+++ b/auburnway/entry/claim_client.py
@@ -33,7 +33,8 @@
     Attributes:
       caller: Caller that issued the key.
       key: Idempotency key.
-      state: `granted`, `open`, `done`, `unknown`, `conflict` or `expired`.
+      state: `granted`, `open`, `done`, `unknown`, `conflict`, `expired` or
+        `refused`.
       claim_id: Identity of the claim.
       attempt: Counts the attempts under this key.
       result: Recorded answer when done; empty when it was too large.
@@ -159,7 +160,8 @@
             if reply is None:
                 on_claim(None)
                 return
-            state = reply.state
+            # An error is control's word that it granted nothing.
+            state = "refused" if reply.error.code else reply.state
             if state == "open" and (
                 reply.entry_incarnation == self._entry_incarnation
             ):
--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -141,8 +141,9 @@
         for shard in waiting:
             self._launch(shard)
         if waiting and not self._finished:
-            self._arm_hedge(self._plans)
-            self._after(SILENCE_MS, lambda: self._give_up_silent(self._plans))
+            plan = self._plans
+            self._arm_hedge(plan)
+            self._after(SILENCE_MS, lambda: self._give_up_silent(plan))
 
     # Sub-requests.
 
@@ -151,9 +152,7 @@
         manifest = self._manifest
         shard.launched = True
         now_ms = backends.clock.now_ms()
-        replicas = backends.table.replicas(
-            request.kind.application, manifest.snapshot, shard.shard
-        )
+        replicas = self._replicas(shard)
         row = backends.chooser.choose(replicas, shard.tried, now_ms)
         if row is None:
             self._on_no_replica(shard, bool(replicas))
@@ -290,12 +289,7 @@
         if self._finished or not shard.open or shard.attempts:
             return
         if drop_snapshot:
-            replicas = self._backends.table.replicas(
-                self._request.kind.application,
-                self._manifest.snapshot,
-                shard.shard,
-            )
-            if all(row.name in shard.tried for row in replicas):
+            if not self._has_other(shard):
                 shard.failed = True
                 if self._plans < MAX_PLANS:
                     self._replan()
@@ -364,7 +358,10 @@
     def _retry_paid(self, shard: sub_request.Shard) -> None:
         if self._finished or not shard.open or shard.attempts:
             return
-        if self._backends.budget.try_spend(self._backends.clock.now_ms()):
+        backends = self._backends
+        if not backends.hedger.budgeted or backends.budget.try_spend(
+            backends.clock.now_ms()
+        ):
             self._launch(shard, extra=True)
         else:
             shard.failed = True
@@ -383,26 +380,38 @@
         if self._finished or plan != self._plans or self._holds_trial:
             return
         backends = self._backends
+        hedger = backends.hedger
         now_ms = backends.clock.now_ms()
-        refused = False
+        again = hedger.max_extra > 1
         for shard in tuple(self._shards.values()):
-            if not shard.open or shard.hedged or not shard.attempts:
+            if not shard.open or not shard.attempts:
                 continue
-            replicas = backends.table.replicas(
-                self._request.kind.application,
-                self._manifest.snapshot,
-                shard.shard,
-            )
-            if all(row.name in shard.tried for row in replicas):
+            if hedger.cancels_previous:
+                # Such a policy also asks the same replica again.
+                shard.tried.clear()
+            if shard.hedges >= hedger.max_extra or not self._has_other(shard):
                 continue
-            if not backends.budget.try_spend(now_ms):
-                refused = True
+            if hedger.budgeted and not backends.budget.try_spend(now_ms):
+                again = True
                 break
-            shard.hedged = True
+            shard.hedges += 1
+            if hedger.cancels_previous:
+                self._drop(shard)
             self._launch(shard, extra=True)
-        if refused and not self._finished:
+        if again and not self._finished:
             self._arm_hedge(plan)
 
+    def _has_other(self, shard: sub_request.Shard) -> bool:
+        """Whether a replica of the shard has not been asked yet."""
+        return any(row.name not in shard.tried for row in self._replicas(shard))
+
+    def _replicas(self, shard: sub_request.Shard):
+        return self._backends.table.replicas(
+            self._request.kind.application,
+            self._manifest.snapshot,
+            shard.shard,
+        )
+
     def _give_up_silent(self, plan: int) -> None:
         if self._finished or plan != self._plans:
             return
--- a/auburnway/entry/non_repeatable.py
+++ b/auburnway/entry/non_repeatable.py
@@ -97,6 +97,8 @@
             self._answer(answer_lib.Recorded(request_id, claim.result))
         elif claim.state == "open":
             self._backends.timers.after(OPEN_PAUSE_MS, self._ask_claim)
+        elif claim.state == "refused":
+            self._not_run(errors.ControlUnavailable(source=request_id))
         elif claim.state == "conflict":
             self._not_run(errors.KeyConflict(source=request_id))
         elif claim.state == "expired":
--- a/auburnway/entry/sub_request.py
+++ b/auburnway/entry/sub_request.py
@@ -36,7 +36,7 @@
       tried: Names of the replicas asked since the last pause.
       attempts: Sub-requests without a reply yet.
       records: The shard's part of the answer; None until it arrived.
-      hedged: True once a hedge was sent.
+      hedges: Count of hedges sent.
       launched: True once it was asked.
       failed: True when it will be missing from the answer.
       backoff_ms: Next pause when all replicas refuse for lack of a slot.
@@ -46,7 +46,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     records: list[typing.Any] | None = None
-    hedged: bool = False
+    hedges: int = 0
     launched: bool = False
     failed: bool = False
     backoff_ms: float = FIRST_BACKOFF_MS
--- a/auburnway/policy/baselines.py
+++ b/auburnway/policy/baselines.py
@@ -89,6 +89,7 @@
 
     max_extra = 0
     budgeted = True
+    cancels_previous = False
 
     def observe(
         self, application: str, latency_ms: float, now_ms: float
@@ -106,8 +107,7 @@
 
     The fan-out reads `max_extra` (extra sends per sub-request), `budgeted`
     (False: no token of the retry budget is asked for) and `cancels_previous`
-    (True: the earlier attempt is cancelled when the next one is sent). The
-    other hedgers have no `cancels_previous`, which means False.
+    (True: the earlier attempt is cancelled when the next one is sent).
     """
 
     max_extra = 3
--- a/auburnway/policy/hedging.py
+++ b/auburnway/policy/hedging.py
@@ -60,10 +60,12 @@
     Attributes:
       max_extra: Greatest number of extra sends per sub-request.
       budgeted: Whether an extra send needs a token of the retry budget.
+      cancels_previous: Whether an extra send replaces the earlier one.
     """
 
     max_extra = 1
     budgeted = True
+    cancels_previous = False
 
     def __init__(self):
         self._windows: dict[str, _Window] = {}
