--- a/auburnway/entry/backends.py
+++ b/auburnway/entry/backends.py
@@ -1,6 +1,7 @@
 """What a query needs to reach backend servers, and the wire form of that."""
 
 import dataclasses
+import json
 import random
 import typing
 
@@ -92,3 +93,31 @@
     """Returns the load that the backend server reported, if any."""
     value = reply.headers.get("x-busy-slots", "")
     return int(value) if value.isdigit() else None
+
+
+def accept(
+    reply: http_client.Reply, sub_id: str, snapshot: int, shard: int
+) -> list[typing.Any] | None:
+    """Returns the records of a reply that is truly for this sub-request.
+
+    Args:
+      reply: End of the exchange.
+      sub_id: Identity that was sent.
+      snapshot: Snapshot that was asked for.
+      shard: Shard that was asked for.
+
+    Returns:
+      None when the reply failed or belongs to something else.
+    """
+    if reply.status != 200:
+        return None
+    try:
+        data = json.loads(reply.body)
+        matches = (
+            data["request_id"] == sub_id
+            and data["snapshot"] == snapshot
+            and data["shard"] == shard
+        )
+        return data["records"] if matches else None
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -6,8 +6,6 @@
 """
 
 from collections import abc
-import json
-import typing
 
 from auburnway.core import answer as answer_lib
 from auburnway.core import errors
@@ -194,10 +192,10 @@
             self._after(pause_ms, lambda: self._relaunch(shard, plan))
             return
         shard.failed = True
-        if not some_exist and self._plans < MAX_PLANS:
-            self._replan()
-        else:
+        if some_exist:
             self._check_complete()
+        else:
+            self._replan()
 
     def _replan(self) -> None:
         """Reads another snapshot, when one is served as a whole."""
@@ -205,6 +203,8 @@
         application = request.kind.application
         current = self._manifest.snapshot
         for manifest in table.manifests(application):
+            if self._plans >= MAX_PLANS:
+                break
             if manifest.snapshot != current and all(
                 table.replicas(application, manifest.snapshot, shard)
                 for shard, _ in manifest.weights
@@ -232,7 +232,9 @@
         if state is not None and state != "serving":
             backends.on_state(attempt.row.name, state)
         name, latency_ms = attempt.row.name, now_ms - attempt.started_ms
-        records = self._accept(shard, attempt, reply)
+        records = backends_lib.accept(
+            reply, attempt.sub_id, self._manifest.snapshot, shard.shard
+        )
         if records is not None:
             backends.chooser.finished(
                 name, latency_ms, True, now_ms, backends_lib.busy_slots(reply)
@@ -252,26 +254,6 @@
             backends.chooser.finished(name, latency_ms, False, now_ms, None)
             self._on_error(shard, attempt, reply)
 
-    def _accept(
-        self,
-        shard: sub_request.Shard,
-        attempt: sub_request.Attempt,
-        reply: http_client.Reply,
-    ) -> list[typing.Any] | None:
-        """Returns the records of a reply that is truly for this attempt."""
-        if reply.status != 200:
-            return None
-        try:
-            data = json.loads(reply.body)
-            matches = (
-                data["request_id"] == attempt.sub_id
-                and data["snapshot"] == self._manifest.snapshot
-                and data["shard"] == shard.shard
-            )
-            return data["records"] if matches else None
-        except (ValueError, KeyError, TypeError):
-            return None
-
     def _on_records(self, shard: sub_request.Shard, records: list) -> None:
         if self._finished or not shard.open:
             return
@@ -288,14 +270,10 @@
         """Tries another replica; nothing ran, so no budget is spent."""
         if self._finished or not shard.open or shard.attempts:
             return
-        if drop_snapshot:
-            if not self._has_other(shard):
-                shard.failed = True
-                if self._plans < MAX_PLANS:
-                    self._replan()
-                else:
-                    self._check_complete()
-                return
+        if drop_snapshot and not self._has_other(shard):
+            shard.failed = True
+            self._replan()
+            return
         self._launch(shard)
 
     def _on_error(
--- a/auburnway/entry/non_repeatable.py
+++ b/auburnway/entry/non_repeatable.py
@@ -7,7 +7,6 @@
 
 from collections import abc
 import hashlib
-import json
 
 from auburnway.core import answer as answer_lib
 from auburnway.core import errors
@@ -201,7 +200,7 @@
         state = reply.headers.get("x-state")
         if state is not None and state != "serving":
             backends.on_state(row.name, state)
-        records = self._accept(reply, sub_id, manifest.snapshot, shard)
+        records = backends_lib.accept(reply, sub_id, manifest.snapshot, shard)
         if records is not None:
             backends.chooser.finished(
                 row.name,
@@ -239,22 +238,6 @@
         self._settle("unknown")
         self._unknown(f"backend server {row.name} did not answer")
 
-    @staticmethod
-    def _accept(reply, sub_id: str, snapshot: int, shard: int):
-        """Returns the records of a reply that is truly for this request."""
-        if reply.status != 200:
-            return None
-        try:
-            data = json.loads(reply.body)
-            matches = (
-                data["request_id"] == sub_id
-                and data["snapshot"] == snapshot
-                and data["shard"] == shard
-            )
-            return data["records"] if matches else None
-        except (ValueError, KeyError, TypeError):
-            return None
-
     def _on_result(self, manifest, shard: int, records: list) -> None:
         done = answer_lib.Done(
             request=self._request,
