Add the stand-in backend server and its small HTTP server

Cause: entries, demonstration and bench need backend servers that behave and fail as the platform's do, several in one process. Change: net/http_server; standin/ with catalogue, announcer, backend server, host and main; Loop.stop wakes the poller, because a stop called from a timer was put off until the next readable socket (5 s in a test). HttpPool takes a channel and can leave out pings, which announcements make needless. Conclusion: ready for use by the entry's tests through standin.embedded.

--- a/auburnway/kernel/process.py
+++ b/auburnway/kernel/process.py
@@ -65,6 +65,9 @@
     def stop(self) -> None:
         """Ends the loop."""
         self.root.stop()
+        # A call from a timer comes just before the poller waits, which would
+        # put off the end until the next readable socket.
+        self.poller.resume()
 
 
 class _Root(circuits.BaseComponent):
--- a/auburnway/net/http_client.py
+++ b/auburnway/net/http_client.py
@@ -284,7 +284,11 @@
 
 
 class HttpPool(circuits.BaseComponent):
-    """Owns all connections to backend servers."""
+    """Owns all connections to backend servers.
+
+    Several pools on one loop need different channels. Idle connections are
+    probed unless `pings` is False.
+    """
 
     channel = "backend"
 
@@ -293,14 +297,18 @@
         poller,
         timers: timers_lib.TimerQueue,
         clock: clock_lib.Clock,
+        channel: str = channel,
+        pings: bool = True,
     ):
-        super().__init__()
+        super().__init__(channel=channel)
         self.poller = poller
         self.timers = timers
         self.clock = clock
         self._servers: dict[str, _Server] = {}
         self._by_socket: dict[socket.socket, _Connection] = {}
-        self._ping_timer = timers.every(PING_PERIOD_MS, self._ping_idle)
+        self._ping_timer: timers_lib.Timer | None = None
+        if pings:
+            self._ping_timer = timers.every(PING_PERIOD_MS, self._ping_idle)
 
     def set_server(self, address: str, limit: int, warm: int) -> None:
         """Adds a backend server or changes its limit.
@@ -382,7 +390,8 @@
 
     def close_all(self) -> None:
         """Closes every connection."""
-        self._ping_timer.cancel()
+        if self._ping_timer is not None:
+            self._ping_timer.cancel()
         for connection in tuple(self._by_socket.values()):
             connection.close(Failure.CONNECTION_LOST)
 
--- /dev/null
+++ b/auburnway/standin/host.py
@@ -0,0 +1,121 @@
+"""Several fake backend servers in one process, on one loop."""
+
+from collections import abc
+import json
+
+from auburnway.core import clock as clock_lib
+from auburnway.kernel import timers as timers_lib
+from auburnway.net import http_client
+from auburnway.net import http_server
+from auburnway.standin import backend as backend_lib
+from auburnway.standin import settings as settings_lib
+
+
+class Host:
+    """Owns the backend servers of a process and their shared client.
+
+    Attributes:
+      backends: Backend servers by name.
+      control: Server of the control address, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        root,
+        poller,
+        timers: timers_lib.TimerQueue,
+        clock: clock_lib.Clock,
+    ):
+        """Creates the servers; `start` starts them.
+
+        Args:
+          settings: Checked settings.
+          root: circuits root component that the sockets are registered on.
+          poller: circuits poller.
+          timers: Timer queue of the loop.
+          clock: Clock.
+        """
+        # Entries need not answer the pings of this client: announcements
+        # test the connections each second.
+        self._pool = http_client.HttpPool(
+            poller, timers, clock, channel="announce", pings=False
+        ).register(root)
+        self.backends = {
+            own.name: backend_lib.Backend(
+                settings, own, poller, timers, clock, self._pool
+            )
+            for own in settings.servers
+        }
+        for backend in self.backends.values():
+            backend.server.register(root)
+        self.control: http_server.HttpServer | None = None
+        if settings.control_address:
+            self.control = http_server.HttpServer(
+                poller, settings.control_address, self._on_request
+            ).register(root)
+
+    def start(self) -> None:
+        """Opens all ports and starts to announce."""
+        if self.control is not None:
+            self.control.open()
+        for backend in self.backends.values():
+            backend.start()
+
+    def drain(self, on_drained: abc.Callable[[], None]) -> None:
+        """Drains all servers, then calls back once."""
+        left = set(self.backends)
+
+        def one_drained(name):
+            left.discard(name)
+            if not left:
+                on_drained()
+
+        for name, backend in tuple(self.backends.items()):
+            backend.drain(lambda name=name: one_drained(name))
+
+    def close(self) -> None:
+        """Stops everything at once."""
+        for backend in self.backends.values():
+            backend.stop()
+        if self.control is not None:
+            self.control.close()
+        self._pool.close_all()
+
+    def _on_request(self, request: http_server.Request) -> None:
+        path, _, arguments = request.path.partition("?")
+        if path == "/v1/record":
+            with_ids = "ids=1" in arguments
+            status, data = (
+                200,
+                {
+                    name: backend.record.as_dict(with_ids)
+                    for name, backend in self.backends.items()
+                },
+            )
+        elif path == "/v1/control" and request.method == "POST":
+            self._control(request)
+            return
+        else:
+            status, data = 404, {}
+        request.reply(status, json.dumps(data).encode())
+
+    def _control(self, request: http_server.Request) -> None:
+        """Passes a control request to the servers that it names."""
+        try:
+            data = json.loads(request.body)
+            names = list(data.get("servers") or self.backends)
+        except (ValueError, TypeError, AttributeError):
+            request.reply(400, b'{"errors": ["no JSON object"]}')
+            return
+        unknown = [name for name in names if name not in self.backends]
+        if unknown:
+            errors = {"errors": [f"unknown servers: {unknown}"]}
+            request.reply(400, json.dumps(errors).encode())
+            return
+        done = {name: self.backends[name].control(data) for name in names}
+        status = max(code for code, _, _ in done.values())
+        replies = {name: reply for name, (_, reply, _) in done.items()}
+        request.reply(status, json.dumps(replies).encode())
+        for _, _, action in done.values():
+            action()
