Add the exchange between entries and the isolation rule

Cause: entries need liveness, relayed rows and configurations, a lease through a peer and the decision of section 8.1 before the front can be written. Ruled out: counting a peer's statement from its arrival; a frozen process would read an old one from its socket and believe it. It is counted from the own heartbeat that it answers. Also ruled out: renewing leases of rows by repair between tables, which would keep a lost backend server alive for ever.

--- /dev/null
+++ b/auburnway/entry/peer_logic.py
@@ -0,0 +1,387 @@
+"""Protocol between entries, without a socket.
+
+Datagrams and clock ticks go in; datagrams go out through `send`. The protocol
+has four parts:
+
+- Heartbeats (`core.peer_state`), to all peers or to a sample of them. In a
+  sample, each heartbeat is answered at once and carries the ages of what the
+  sender heard from others.
+- Changes (rows, configurations, strikes), sent at once and repeated until
+  acknowledged (`net.peer_wire`).
+- Comparison of table digests each second, which finds rows that were lost.
+- Renewals: the rows that announced themselves here within the last second,
+  so that their leases go on at entries that they do not announce to.
+"""
+
+from collections import abc
+import dataclasses
+import random
+import typing
+
+import loguru
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import isolation
+from auburnway.core import membership
+from auburnway.core import peer_state
+from auburnway.entry import peer_table
+from auburnway.entry import peer_view
+from auburnway.net import peer_wire
+
+REPAIR_MS = 1000.0
+# A reply is requested when a peer's last answer is this old, so that two lost
+# datagrams in a row do not make it suspected.
+STALE_MS = 500.0
+# Renewed rows per datagram, 9 bytes each.
+MAX_RENEWED = 120
+# How often a demand is sent that is too large for heartbeats.
+DEMAND_MS = 1000.0
+# Table digests differ while a change is on its way; only a difference that
+# lasts two heartbeats is repaired. An empty table asks at once.
+DIFFERS_MS = 400.0
+# Configurations and strikes are pushed to this many peers; heartbeats show
+# the others that they lack something.
+MAX_PUSHES = 16
+
+
+@dataclasses.dataclass
+class Callbacks:
+    """Functions that take what peers relayed."""
+
+    on_row: abc.Callable[[membership.Row], None]
+    on_configuration: abc.Callable[[bytes, int], None]
+    on_strikes: abc.Callable[[list], None]
+
+
+class PeerLogic:
+    """State machine of one entry in the exchange with its peers."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        send: abc.Callable[[str, bytes], None],
+        name: str,
+        own: tuple[str, str],
+        data_center: str,
+        seeds: abc.Iterable[str],
+        token: str,
+        table: membership.Table,
+        callbacks: Callbacks,
+        mode: isolation.Mode = isolation.Mode.MAJORITY,
+    ):
+        """Creates the state.
+
+        Args:
+          clock: Clock of this entry.
+          rng: Source of the random samples.
+          send: Takes an address and a datagram.
+          name: Name of this entry.
+          own: Its caller address and its peer address, `ip:port`.
+          data_center: Its data centre.
+          seeds: Peer addresses to try; the own one is ignored.
+          token: Fleet token.
+          table: Backend table, which rows from peers are put into.
+          callbacks: Functions that take what peers relayed.
+          mode: Setting `when_isolated`.
+        """
+        self._clock = clock
+        self._rng = rng
+        self._send_datagram = send
+        self._seal = peer_wire.Seal(token)
+        self.view = peer_view.PeerView(clock, rng, name, own, data_center, mode)
+        self._seeds = frozenset(s for s in seeds if s != own[1])
+        # Addresses tried since the last repair round.
+        self._tried: set[str] = set()
+        self._callbacks = callbacks
+        self._rows = peer_table.PeerTable(table, callbacks.on_row)
+        self._configuration: tuple[bytes, int] = (b"", peer_state.NO_NUMBER)
+        self._next_heartbeat_ms = peer_view.NEVER
+        self._next_repair_ms = peer_view.NEVER
+        self._next_summary_ms = peer_view.NEVER
+        self._rejected = 0
+
+    # What the entry tells.
+
+    def set_own(
+        self,
+        number: int,
+        digest: str,
+        lease_end_ms: float,
+        leaving: bool,
+        demand: peer_state.Demand,
+    ) -> None:
+        """Sets what the next heartbeats say of this entry."""
+        was_leaving = self.view.leaving
+        self.view.set_own(number, digest, lease_end_ms, leaving, demand)
+        if leaving != was_leaving:
+            # A sample of peers would not do: callers must be told before
+            # the listener closes.
+            self._send_change("leaving", leaving)
+
+    def announce_row(self, row: membership.Row) -> None:
+        """Relays a change of a row to all peers."""
+        self._rows.announced(row)
+        self._send_change("rows", [membership.encode_row(row)])
+
+    def renew_row(self, name: str) -> None:
+        """Notes that a backend server announced itself here."""
+        self._rows.renewed(name)
+
+    def relay_configuration(self, data: bytes, number: int) -> None:
+        """Offers a configuration to peers that have an older one."""
+        if number > self._configuration[1]:
+            self._configuration = (data, number)
+            self._push_configuration(MAX_PUSHES)
+
+    def relay_strikes(self, strikes: list) -> None:
+        """Sends strikes to all peers."""
+        self._send_change("strikes", strikes)
+
+    def status(self) -> dict[str, typing.Any]:
+        """Returns the state of each peer and the counters."""
+        return {
+            "peers": self.view.status(),
+            "table_digest": self._rows.digest.total,
+            "rejected": self._rejected,
+        }
+
+    # Time.
+
+    def tick(self) -> None:
+        """Does what is due; called at least each 50 ms."""
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._next_heartbeat_ms:
+            self._next_heartbeat_ms = now_ms + peer_state.HEARTBEAT_MS
+            self._heartbeat_round(now_ms)
+        if now_ms >= self._next_repair_ms:
+            self._next_repair_ms = now_ms + REPAIR_MS
+            self._repair_round(now_ms)
+        for peer in self.view.peers.values():
+            if peer.channel.queued:
+                self._flush(peer)
+
+    def _heartbeat_round(self, now_ms: float) -> None:
+        targets = list(self.view.peers.values())
+        sampled = self.view.is_sampled
+        if sampled:
+            targets = self._rng.sample(targets, peer_state.SAMPLE)
+        for peer in targets:
+            stale = now_ms - peer.heard_ms > STALE_MS
+            self._send_heartbeat(peer.address, peer, sampled or stale)
+
+    def _repair_round(self, now_ms: float) -> None:
+        for peer in tuple(self.view.peers.values()):
+            if now_ms - peer.received_ms > peer_view.FORGET_MS:
+                self.view.forget(peer)
+            elif not self.view.is_reachable(peer):
+                # Its queue would be obsolete when it comes back; digests
+                # find what it lacks.
+                peer.channel.clear()
+        self._tried.clear()
+        for address in self._seeds:
+            self._try_address(address)
+        renewed = self._rows.take_renewed()
+        if renewed:
+            for peer in self.view.heard_peers():
+                for start in range(0, len(renewed), MAX_RENEWED):
+                    batch = renewed[start : start + MAX_RENEWED]
+                    self._send(peer.address, "renew", batch)
+
+    def _send_heartbeat(
+        self, address: str, peer: peer_view.Peer | None, wants_reply: bool
+    ) -> None:
+        content = self.view.make_heartbeat(
+            peer, wants_reply, self._rows.digest.total
+        )
+        self._send(address, "hb", content)
+        if peer is None or not self.view.has_large_demand:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms - peer.demand_sent_ms >= DEMAND_MS:
+            peer.demand_sent_ms = now_ms
+            peer.channel.send("demand", self.view.demand)
+
+    # Datagrams.
+
+    def receive(self, source: str, datagram: bytes) -> None:
+        """Takes a datagram.
+
+        Args:
+          source: Address that it came from, `ip:port`.
+          datagram: Its bytes; ignored when they are not authentic.
+        """
+        body = self._seal.open(datagram)
+        try:
+            kind, name, started_ms, content = body
+            if name == self.view.name:
+                return
+            self._handle(source, kind, name, started_ms, content)
+        except (TypeError, ValueError, KeyError, AttributeError) as error:
+            # Not from this version of the protocol, or not authentic.
+            self._rejected += 1
+            # At the powers of two, so that a flood does not fill the log.
+            if self._rejected & (self._rejected - 1) == 0:
+                loguru.logger.warning("bad datagram from {}: {}", source, error)
+
+    def _handle(self, source, kind, name, started_ms, content):
+        peer = self.view.peers.get(name)
+        if kind == "hb":
+            self._on_heartbeat(name, content)
+        elif peer is None or peer.started_ms != started_ms:
+            # The heartbeat that introduces it was lost or comes later; parts
+            # are repeated.
+            return
+        elif kind == "part":
+            unit, message = peer.channel.accept(content)
+            if unit:
+                self._send(peer.address, "ack", [unit])
+            if message is not None:
+                self._on_message(peer, *message)
+        elif kind == "ack":
+            peer.channel.acknowledge(content)
+            self._flush(peer)
+        elif kind == "renew":
+            self._fetch(
+                peer,
+                self._rows.renewed_elsewhere(content, self._clock.now_ms()),
+            )
+        elif kind == "summary":
+            self._on_summary(peer, content)
+
+    def _on_heartbeat(self, name, content):
+        taken = self.view.take_heartbeat(name, content)
+        if taken is None:
+            return
+        peer, heartbeat, is_new = taken
+        for address in content[1]:
+            self._try_address(address)
+        if heartbeat.wants_reply or is_new:
+            self._send_heartbeat(peer.address, peer, False)
+        if is_new:
+            self._introduce(peer)
+        self._repair(peer, heartbeat)
+
+    def _introduce(self, peer: peer_view.Peer) -> None:
+        """Tells a new peer of the others, and asks for what it has."""
+        known = [p.address for p in self.view.peers.values() if p is not peer]
+        if known:
+            peer.channel.send("peers", known)
+        self._flush(peer)
+
+    def _on_message(self, peer: peer_view.Peer, kind: str, content) -> None:
+        if kind == "rows":
+            self._rows.take(content, self._clock.now_ms())
+        elif kind == "versions":
+            newer, wanted = self._rows.compare(*content)
+            self._send_rows(peer, newer)
+            self._fetch(peer, wanted)
+        elif kind == "fetch":
+            self._send_rows(peer, self._rows.find(content))
+        elif kind == "configuration":
+            data, number = content
+            if number > self._configuration[1]:
+                self._configuration = (data, number)
+                self._callbacks.on_configuration(data, number)
+                if self.view.is_sampled:
+                    self._push_configuration(peer_state.SAMPLE)
+        elif kind == "fetch_configuration":
+            self._push_to(peer)
+        elif kind == "strikes":
+            self._callbacks.on_strikes(content)
+        elif kind == "peers":
+            for address in content[: peer_view.MAX_PEERS]:
+                self._try_address(address)
+        elif kind == "leaving":
+            peer.leaving = bool(content)
+        elif kind == "demand":
+            peer.demand = dict(content)
+
+    # Repair of differences.
+
+    def _repair(self, peer: peer_view.Peer, heartbeat) -> None:
+        """Compares what a peer states with the own state."""
+        now_ms = self._clock.now_ms()
+        known = max(self.view.number, self._configuration[1])
+        if heartbeat.number > known and now_ms - peer.fetched_ms >= REPAIR_MS:
+            peer.fetched_ms = now_ms
+            peer.channel.send("fetch_configuration", known)
+            self._flush(peer)
+        if heartbeat.table == self._rows.digest.total:
+            peer.differs_ms = None
+            return
+        if peer.differs_ms is None:
+            peer.differs_ms = now_ms
+        lasting = now_ms - peer.differs_ms >= DIFFERS_MS
+        if (
+            (lasting or not self._rows.digest.total)
+            and now_ms - peer.repaired_ms >= REPAIR_MS
+            and now_ms >= self._next_summary_ms
+        ):
+            # One peer at a time, as the others lack the same rows.
+            self._next_summary_ms = now_ms + peer_state.HEARTBEAT_MS
+            peer.repaired_ms = now_ms
+            self._send(peer.address, "summary", self._rows.digest.buckets)
+
+    def _on_summary(self, peer: peer_view.Peer, buckets) -> None:
+        if len(buckets) != peer_state.BUCKETS:
+            raise ValueError("malformed summary")
+        for rows in self._rows.differing(buckets):
+            peer.channel.send("versions", rows)
+        self._flush(peer)
+
+    def _send_rows(self, peer: peer_view.Peer, rows) -> None:
+        for batch in peer_table.batches(rows):
+            peer.channel.send("rows", batch)
+        self._flush(peer)
+
+    def _fetch(self, peer: peer_view.Peer, wanted: list[int]) -> None:
+        if wanted:
+            peer.channel.send("fetch", wanted)
+            self._flush(peer)
+
+    def _push_configuration(self, limit: int) -> None:
+        behind = [
+            peer
+            for peer in self.view.heard_peers()
+            if peer.heartbeat is None
+            or peer.heartbeat.number < self._configuration[1]
+        ]
+        for peer in self._rng.sample(behind, min(limit, len(behind))):
+            self._push_to(peer)
+
+    def _push_to(self, peer: peer_view.Peer) -> None:
+        data, number = self._configuration
+        if number != peer_state.NO_NUMBER:
+            peer.channel.send("configuration", [data, number])
+            self._flush(peer)
+
+    # Helpers.
+
+    def _send_change(self, kind: str, content) -> None:
+        """Sends a change to all peers, repeated until acknowledged."""
+        for peer in self.view.peers.values():
+            if self.view.is_reachable(peer):
+                peer.channel.send(kind, content)
+                self._flush(peer)
+
+    def _try_address(self, address: str) -> None:
+        """Sends a heartbeat to an address that a peer named, once a second."""
+        if address == self.view.peer_address or address in self._tried:
+            return
+        if any(p.address == address for p in self.view.peers.values()):
+            return
+        if len(self._tried) < peer_view.MAX_PEERS:
+            self._tried.add(address)
+            self._send_heartbeat(address, None, True)
+
+    def _flush(self, peer: peer_view.Peer) -> None:
+        for body in peer.channel.due(self._clock.now_ms()):
+            self._send(peer.address, "part", body)
+
+    def _send(self, address: str, kind: str, content) -> None:
+        body = [kind, self.view.name, self.view.started_ms, content]
+        datagram = self._seal.close(body)
+        if len(datagram) > peer_wire.MAX_DATAGRAM_BYTES:
+            raise AssertionError(f"datagram of kind {kind} is too large")
+        self._send_datagram(address, datagram)
--- /dev/null
+++ b/auburnway/entry/peer_table.py
@@ -0,0 +1,170 @@
+"""Rows of the backend table as they are exchanged with peers.
+
+`membership.Table` holds what this entry believes, with its own leases. This
+module keeps beside it the announced form of each row and the digest of the
+versions. Repair between tables never renews a lease: otherwise two entries
+would keep a lost backend server alive for each other.
+"""
+
+from collections import abc
+import typing
+
+import msgpack
+from returns import pipeline
+
+from auburnway.core import membership
+from auburnway.core import peer_state
+from auburnway.net import peer_wire
+
+
+class PeerTable:
+    """Announced rows, their digest, and the rows renewed here."""
+
+    def __init__(
+        self,
+        table: membership.Table,
+        on_row: abc.Callable[[membership.Row], None],
+    ):
+        self._table = table
+        self._on_row = on_row
+        self._rows: dict[str, membership.Row] = {}
+        self._by_id: dict[int, str] = {}
+        self._renewed: set[str] = set()
+        self.digest = peer_state.TableDigest()
+        for row in table.rows():
+            self._keep(row)
+
+    def announced(self, row: membership.Row) -> None:
+        """Takes a row that announced itself here; the table has it."""
+        present = self._rows.get(row.name)
+        if present is None or present.version <= row.version:
+            self._keep(row)
+        self._renewed.add(row.name)
+
+    def renewed(self, name: str) -> None:
+        """Notes an announcement without a change."""
+        if name in self._rows:
+            self._renewed.add(name)
+
+    def take_renewed(self) -> list[int]:
+        """Returns the identifiers of rows renewed since the last call."""
+        renewed, self._renewed = self._renewed, set()
+        return [peer_state.identifier(name) for name in renewed]
+
+    def renewed_elsewhere(
+        self, identifiers: abc.Iterable[int], now_ms: float
+    ) -> list[int]:
+        """Renews the leases of rows that announced themselves to a peer.
+
+        Returns:
+          Identifiers of rows that are unknown here or known only as gone.
+        """
+        wanted = []
+        for identifier in identifiers:
+            row = self._rows.get(self._by_id.get(identifier, ""))
+            if row is None or row.state is membership.State.GONE:
+                wanted.append(identifier)
+            else:
+                self._table.put(row, now_ms)
+        return wanted
+
+    def take(self, encoded: abc.Iterable[typing.Any], now_ms: float) -> None:
+        """Takes relayed rows; only a greater version changes the table."""
+        for data in encoded:
+            decoded = membership.decode_row(data)
+            if not pipeline.is_successful(decoded):
+                raise ValueError(decoded.failure().message)
+            row = decoded.unwrap()
+            present = self._rows.get(row.name)
+            if present is not None and row.version <= present.version:
+                # A row that was learned as gone, and that announces itself
+                # to a peer without a change, comes back.
+                revived = row.version == present.version and (
+                    present.state is membership.State.GONE is not row.state
+                )
+                if not revived:
+                    continue
+            self._keep(row)
+            self._table.put(row, now_ms)
+            self._on_row(row)
+
+    def differing(
+        self, buckets: list[int]
+    ) -> abc.Iterator[tuple[int, list[tuple[int, int, int]]]]:
+        """Yields each bucket that differs, with the versions of its rows.
+
+        Args:
+          buckets: Digests of the peer's buckets.
+        """
+        own = self.digest.buckets
+        found: dict[int, list[tuple[int, int, int]]] = {
+            i: [] for i in range(len(own)) if own[i] != buckets[i]
+        }
+        for identifier, name in self._by_id.items():
+            versions = found.get(peer_state.bucket_of(identifier))
+            if versions is not None:
+                versions.append((identifier, *self._rows[name].version))
+        yield from found.items()
+
+    def compare(
+        self, bucket: int, versions: list[tuple[int, int, int]]
+    ) -> tuple[list[dict[str, typing.Any]], list[int]]:
+        """Compares a peer's versions of one bucket with the own rows.
+
+        Returns:
+          The rows that are newer here, and the identifiers of rows that are
+          newer at the peer.
+        """
+        theirs = {
+            identifier: (started_ms, sequence)
+            for identifier, started_ms, sequence in versions
+        }
+        newer = []
+        for identifier, name in self._by_id.items():
+            if peer_state.bucket_of(identifier) != bucket:
+                continue
+            version = theirs.get(identifier)
+            own = self._rows[name].version
+            if version is None or version < own:
+                newer.append(self._encode(name))
+            if version is not None and version <= own:
+                del theirs[identifier]
+        return newer, list(theirs)
+
+    def find(
+        self, identifiers: abc.Iterable[int]
+    ) -> list[dict[str, typing.Any]]:
+        """Returns the encoded rows of these identifiers."""
+        names = (self._by_id.get(identifier) for identifier in identifiers)
+        return [self._encode(name) for name in names if name is not None]
+
+    def _encode(self, name: str) -> dict[str, typing.Any]:
+        # The state is the one believed here, so that a row that is gone does
+        # not start a new lease at an entry that did not know it.
+        row = self._table.get(name) or self._rows[name]
+        kept = self._rows[name]
+        gone = row.version == kept.version and (
+            row.state is membership.State.GONE
+        )
+        return membership.encode_row(row if gone else kept)
+
+    def _keep(self, row: membership.Row) -> None:
+        self._rows[row.name] = row
+        self._by_id[peer_state.identifier(row.name)] = row.name
+        self.digest.put(row)
+
+
+def batches(
+    rows: abc.Iterable[dict[str, typing.Any]],
+) -> abc.Iterator[list[dict[str, typing.Any]]]:
+    """Yields encoded rows in groups that fit one datagram where possible."""
+    batch, size = [], 0
+    for row in rows:
+        length = len(msgpack.packb(row))
+        if batch and size + length > peer_wire.PART_BYTES - 16:
+            yield batch
+            batch, size = [], 0
+        batch.append(row)
+        size += length
+    if batch:
+        yield batch
--- /dev/null
+++ b/auburnway/entry/peer_view.py
@@ -0,0 +1,411 @@
+"""What one entry knows of its peers, and what it tells them of itself.
+
+Heartbeats (`core.peer_state`) go to all peers or to a sample of them. In a
+sample, each heartbeat is answered at once and carries the ages of what the
+sender heard from others. This module makes and takes heartbeats and answers
+the questions that follow from them; it sends nothing.
+"""
+
+from collections import abc
+import random
+import typing
+
+import msgpack
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import isolation
+from auburnway.core import peer_state
+from auburnway.net import peer_wire
+
+# A peer that was silent this long is forgotten; seeds are always tried.
+FORGET_MS = 30_000.0
+MAX_PEERS = 1024
+# After a start the entry does not say that it holds no lease: control may
+# still count the lease of the incarnation before.
+START_QUIET_MS = 1500.0
+# A larger demand is sent as a change once a second, not in heartbeats.
+MAX_DEMAND_BYTES = 400
+# With these limits a heartbeat fits one datagram.
+MAX_NAME_BYTES = 64
+# Ages of other peers per heartbeat, 14 bytes each.
+MAX_AGES = 32
+# Own heartbeats whose instants are remembered: 6 s with 15 peers.
+MAX_SENT = 512
+NEVER = float("-inf")
+_LEASED, _SAME_NUMBER, _SAME_REGISTERED = 1, 2, 4
+
+
+class Peer:
+    """What is known of one other entry."""
+
+    def __init__(self, name: str, started_ms: int, now_ms: float):
+        self.name = name
+        self.started_ms = started_ms
+        self.address = ""
+        self.heartbeat: peer_state.Heartbeat | None = None
+        self.channel = peer_wire.Channel()
+        self.heard_ms = NEVER
+        self.received_ms = now_ms
+        self.statement: peer_state.Statement | None = None
+        self.repaired_ms = NEVER
+        self.fetched_ms = NEVER
+        self.differs_ms: float | None = None
+        self.leaving = False
+        self.demand: peer_state.Demand = {}
+        self.demand_sent_ms = NEVER
+
+    @property
+    def identifier(self) -> int:
+        """Short identifier of this incarnation in heartbeats of others."""
+        return peer_state.identifier(f"{self.name}\n{self.started_ms}")
+
+
+class PeerView:
+    """Peers of one entry, with what each of them said last."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        name: str,
+        own: tuple[str, str],
+        data_center: str,
+        mode: isolation.Mode,
+    ):
+        """Creates the state.
+
+        Args:
+          clock: Clock of this entry.
+          rng: Source of the random samples.
+          name: Name of this entry.
+          own: Its caller address and its peer address, `ip:port`.
+          data_center: Its data centre.
+          mode: Setting `when_isolated`.
+
+        Raises:
+          ValueError: A name is over 64 bytes long.
+        """
+        if max(len(name.encode()), len(data_center.encode())) > MAX_NAME_BYTES:
+            raise ValueError(f"{name!r} or {data_center!r} is too long")
+        self._clock = clock
+        self._rng = rng
+        self.name = name
+        self.started_ms = clock.wall_ms()
+        self._quiet_end_ms = clock.now_ms() + START_QUIET_MS
+        self._caller_address, self.peer_address = own
+        self._data_center = data_center
+        self._mode = mode
+        self.peers: dict[str, Peer] = {}
+        self._by_id: dict[int, Peer] = {}
+        self._sequence = 0
+        self._sent_ms: dict[int, float] = {}
+        self.number = peer_state.NO_NUMBER
+        # Greatest number that any peer ever stated.
+        self._known_number = peer_state.NO_NUMBER
+        self._digest = ""
+        self._lease_end_ms = NEVER
+        self.leaving = False
+        self.demand: peer_state.Demand = {}
+        self.has_large_demand = False
+        self._registered: frozenset[str] = frozenset()
+        self._registered_digest = peer_state.registered_digest(())
+        self._decision: isolation.Serving | isolation.Fenced | None = None
+
+    @property
+    def is_sampled(self) -> bool:
+        """Whether heartbeats go to a sample of the peers."""
+        return len(self.peers) + 1 > peer_state.FULL_MESH
+
+    def set_own(
+        self,
+        number: int,
+        digest: str,
+        lease_end_ms: float,
+        leaving: bool,
+        demand: peer_state.Demand,
+    ) -> None:
+        """Sets what the next heartbeats say of this entry."""
+        if number >= self.number:
+            self.number, self._digest = number, digest
+        self._lease_end_ms = lease_end_ms
+        self.leaving = leaving
+        if demand != self.demand:
+            self.demand = demand
+            size = len(msgpack.packb(demand))
+            self.has_large_demand = size > MAX_DEMAND_BYTES
+        self._decision = None
+
+    def set_registered(self, names: abc.Iterable[str]) -> None:
+        """Sets the registered entries, as control last named them."""
+        names = frozenset(names)
+        if names != self._registered:
+            self._registered = names
+            self._registered_digest = peer_state.registered_digest(names)
+            self._decision = None
+
+    # Questions.
+
+    def addresses(self) -> tuple[str, ...]:
+        """Returns the addresses that callers should use, best first."""
+        own = peer_state.Address(
+            self._caller_address, self._data_center, self.leaving, 0.0
+        )
+        others = [
+            peer_state.Address(
+                peer.heartbeat.caller_address,
+                peer.heartbeat.data_center,
+                peer.leaving,
+                peer.heard_ms,
+            )
+            for peer in self.peers.values()
+            if peer.heartbeat is not None
+        ]
+        return peer_state.addresses(own, others, self._clock.now_ms())
+
+    def demands(self) -> dict[str, peer_state.Demand]:
+        """Returns the demand of each entry that is heard, the own included."""
+        found = {self.name: self.demand}
+        for peer in self.heard_peers():
+            if peer.heartbeat is not None:
+                found[peer.name] = peer.heartbeat.demand or peer.demand
+        return found
+
+    def may_serve(self) -> isolation.Serving | isolation.Fenced:
+        """Decides whether this entry may serve (section 8.1).
+
+        The decision is kept until it ends or until something is learned, so
+        that it can be asked for each request.
+        """
+        now_ms = self._clock.now_ms()
+        decision = self._decision
+        if isinstance(decision, isolation.Fenced) or (
+            decision is not None and now_ms < decision.until_ms
+        ):
+            return decision
+        self._decision = isolation.may_serve(
+            self.name,
+            self.number,
+            self._lease_end_ms,
+            self._mode_now(now_ms),
+            self._registered,
+            tuple(p.statement for p in self.peers.values() if p.statement),
+            now_ms,
+            self._known_number,
+        )
+        return self._decision
+
+    def _mode_now(self, now_ms: float) -> isolation.Mode:
+        quiet = now_ms < self._quiet_end_ms
+        if quiet and self._mode is isolation.Mode.MAJORITY:
+            return isolation.Mode.FENCE
+        return self._mode
+
+    def heard_peers(self) -> list[Peer]:
+        """Returns the peers that are not suspected."""
+        now_ms = self._clock.now_ms()
+        return [
+            peer
+            for peer in self.peers.values()
+            if not peer_state.is_suspected(peer.heard_ms, now_ms)
+        ]
+
+    def is_reachable(self, peer: Peer) -> bool:
+        """Whether a change is sent at once; a new peer may not be heard yet."""
+        return peer.heard_ms == NEVER or not peer_state.is_suspected(
+            peer.heard_ms, self._clock.now_ms()
+        )
+
+    def status(self) -> list[dict[str, typing.Any]]:
+        """Returns the state of each peer, by name."""
+        now_ms = self._clock.now_ms()
+        return [
+            {
+                "name": peer.name,
+                "address": peer.address,
+                "number": peer.heartbeat.number,
+                "leaving": peer.leaving,
+                "suspected": peer_state.is_suspected(peer.heard_ms, now_ms),
+                "heard_ago_ms": min(now_ms - peer.heard_ms, FORGET_MS),
+                "queued": peer.channel.queued,
+                "dropped": peer.channel.dropped,
+                "resent": peer.channel.resent,
+            }
+            for peer in sorted(self.peers.values(), key=lambda p: p.name)
+        ]
+
+    # Heartbeats.
+
+    def make_heartbeat(
+        self, peer: Peer | None, wants_reply: bool, table: int
+    ) -> list[typing.Any]:
+        """Returns the content of a heartbeat.
+
+        Args:
+          peer: Receiver; None for an address whose entry is not known.
+          wants_reply: Whether it must be answered at once.
+          table: Digest of the backend table.
+        """
+        now_ms = self._clock.now_ms()
+        self._sequence += 1
+        self._sent_ms[self._sequence] = now_ms
+        if len(self._sent_ms) > MAX_SENT:
+            del self._sent_ms[next(iter(self._sent_ms))]
+        last = peer.heartbeat if peer is not None else None
+        serving = self.may_serve()
+        heartbeat = peer_state.Heartbeat(
+            name=self.name,
+            started_ms=self.started_ms,
+            sequence=self._sequence,
+            echo_started_ms=last.started_ms if last else 0,
+            echo=last.sequence if last else 0,
+            caller_address=self._caller_address,
+            peer_address=self.peer_address,
+            data_center=self._data_center,
+            leaving=self.leaving,
+            number=self.number,
+            digest=self._digest,
+            lease_left_ms=max(self._lease_end_ms - now_ms, 0.0),
+            holds_lease=now_ms < self._quiet_end_ms
+            or isinstance(serving, isolation.Serving)
+            and serving.basis
+            in (isolation.Basis.LEASE, isolation.Basis.PEER_LEASE),
+            registered=self._registered_digest,
+            demand={} if self.has_large_demand else self.demand,
+            table=table,
+            wants_reply=wants_reply,
+        )
+        # A new peer needs two others to find the rest; later ones help when
+        # an introduction was lost.
+        others = [p for p in self.heard_peers() if p is not peer]
+        picked = self._rng.sample(others, min(2, len(others)))
+        return [
+            peer_state.encode_heartbeat(heartbeat),
+            [other.address for other in picked],
+            self._ages(others, now_ms) if self.is_sampled else [],
+        ]
+
+    def _ages(self, others, now_ms):
+        """Returns what was heard of others, the freshest first."""
+        others = sorted(others, key=lambda p: -p.heard_ms)[:MAX_AGES]
+        ages = []
+        for peer in others:
+            said = peer.statement
+            since_ms, flags = peer.heard_ms, 0
+            if said is not None and said.number == self.number:
+                since_ms = said.since_ms
+                flags = _SAME_NUMBER
+                flags |= _LEASED if said.holds_lease else 0
+                if said.registered == self._registered_digest:
+                    flags |= _SAME_REGISTERED
+            # Rounded up, so that the statement never looks fresher.
+            age_ms = int(now_ms - since_ms) + 1
+            ages.append([peer.identifier, age_ms, flags])
+        return ages
+
+    def take_heartbeat(
+        self, name: str, content: typing.Any
+    ) -> tuple[Peer, peer_state.Heartbeat, bool] | None:
+        """Takes the content of a heartbeat.
+
+        Returns:
+          The peer, its heartbeat and whether the peer is new; None when the
+          heartbeat is obsolete.
+
+        Raises:
+          ValueError, TypeError: The content is malformed.
+        """
+        body, _, ages = content
+        heartbeat = peer_state.decode_heartbeat(body)
+        if heartbeat is None or heartbeat.name != name:
+            raise ValueError("malformed heartbeat")
+        now_ms = self._clock.now_ms()
+        peer = self._admit(heartbeat, now_ms)
+        if peer is None:
+            return None
+        last = peer.heartbeat
+        if last is not None and heartbeat.sequence <= last.sequence:
+            return None
+        peer.heartbeat = heartbeat
+        peer.address = heartbeat.peer_address
+        peer.received_ms = now_ms
+        # A planned stop is never taken back by the same incarnation.
+        peer.leaving = peer.leaving or heartbeat.leaving
+        self._known_number = max(self._known_number, heartbeat.number)
+        self._decision = None
+        since_ms = self._answered_ms(heartbeat)
+        if since_ms != NEVER:
+            self._take_statement(peer, heartbeat, since_ms)
+            self._take_ages(heartbeat, ages, since_ms)
+        return peer, heartbeat, last is None
+
+    def _take_statement(self, peer, heartbeat, since_ms):
+        peer.heard_ms = max(peer.heard_ms, since_ms)
+        if peer.statement is None or since_ms >= peer.statement.since_ms:
+            peer.statement = peer_state.Statement(
+                peer.name,
+                heartbeat.number,
+                heartbeat.holds_lease,
+                heartbeat.lease_left_ms,
+                heartbeat.registered,
+                since_ms,
+            )
+
+    def _admit(self, heartbeat, now_ms) -> Peer | None:
+        """Returns the peer of a heartbeat; None when it is obsolete."""
+        peer = self.peers.get(heartbeat.name)
+        if peer is not None and peer.started_ms == heartbeat.started_ms:
+            return peer
+        if peer is not None:
+            # A lower incarnation is a late datagram, unless the higher one
+            # is silent: then the wall clock went back across a restart.
+            silent = now_ms - peer.received_ms > peer_state.SUSPECT_MS
+            if heartbeat.started_ms < peer.started_ms and not silent:
+                return None
+            self.forget(peer)
+        elif len(self.peers) >= MAX_PEERS:
+            return None
+        peer = Peer(heartbeat.name, heartbeat.started_ms, now_ms)
+        self.peers[peer.name] = peer
+        self._by_id[peer.identifier] = peer
+        return peer
+
+    def forget(self, peer: Peer) -> None:
+        """Drops a peer."""
+        self.peers.pop(peer.name, None)
+        self._by_id.pop(peer.identifier, None)
+
+    def _answered_ms(self, heartbeat) -> float:
+        """Returns when the own heartbeat was sent that this one answers."""
+        if heartbeat.echo_started_ms != self.started_ms:
+            return NEVER
+        return self._sent_ms.get(heartbeat.echo, NEVER)
+
+    def _take_ages(self, heartbeat, ages, since_ms):
+        """Takes what a peer heard of others.
+
+        A lease is lent only by a direct statement; what is left of it is
+        kept when a relayed statement of the same number follows.
+        """
+        for identifier, age_ms, flags in ages:
+            peer = self._by_id.get(identifier)
+            if peer is None or age_ms < 0:
+                continue
+            heard_ms = since_ms - age_ms
+            peer.heard_ms = max(peer.heard_ms, heard_ms)
+            last = peer.statement
+            if flags & _SAME_NUMBER and (
+                last is None or heard_ms > last.since_ms
+            ):
+                same = flags & _SAME_REGISTERED
+                left_ms = 0.0
+                if last is not None and last.number == heartbeat.number:
+                    end_ms = last.since_ms + last.lease_left_ms
+                    left_ms = max(end_ms - heard_ms, 0.0)
+                peer.statement = peer_state.Statement(
+                    peer.name,
+                    heartbeat.number,
+                    bool(flags & _LEASED),
+                    left_ms,
+                    heartbeat.registered if same else ~heartbeat.registered,
+                    heard_ms,
+                )
