Say not run only with knowledge of the claim

Cause: a resend that was refused before its claim was looked up, or while the first attempt still ran at the same entry, was told not run although the first attempt may have run. Ruled out: asking control before every refusal; a flood would then cost a round trip for each refused request, and control may be down. Change: without that knowledge the answer is unknown, unless the caller marks the request as attempt 1. The canary of an unseen query now also holds the rest back when it is lost. Conclusion: the same key may always be sent again, so unknown costs nothing.

--- a/auburnway/core/answer.py
+++ b/auburnway/core/answer.py
@@ -53,15 +53,38 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unknown:
-    """It is not known whether the request ran; it never runs again."""
+    """It is not known here whether the request ran.
+
+    The same idempotency key may be sent again: it never runs twice.
+    """
 
     request_id: str
     error: errors.Error
+    retry_after_ms: float | None = None
 
 
 Answer = Done | Recorded | NotRun | Unknown
 
 
+def refuse(
+    request_id: str,
+    error: errors.Error,
+    may_be_resend: bool,
+    retry_after_ms: float | None = None,
+) -> NotRun | Unknown:
+    """Returns the truthful refusal of a request that was not looked up.
+
+    Args:
+      request_id: The request.
+      error: Why it is refused.
+      may_be_resend: Whether an earlier request with the same key may exist.
+        What became of that one is not known, so this is not "not run".
+      retry_after_ms: When to send again.
+    """
+    kind = Unknown if may_be_resend else NotRun
+    return kind(request_id, error, retry_after_ms)
+
+
 @dataclasses.dataclass(frozen=True)
 class Rendered:
     """An answer as HTTP."""
@@ -113,10 +136,12 @@
     return Rendered(200, json.dumps(body).encode())
 
 
-@render.register
-def _(answer: NotRun) -> Rendered:
+@render.register(NotRun)
+@render.register(Unknown)
+def _(answer: NotRun | Unknown) -> Rendered:
+    outcome = "not_run" if isinstance(answer, NotRun) else "unknown"
     body = {
-        "outcome": "not_run",
+        "outcome": outcome,
         "request_id": answer.request_id,
         "error": answer.error.as_dict(),
     }
@@ -127,13 +152,3 @@
         json.dumps(body).encode(),
         answer.retry_after_ms,
     )
-
-
-@render.register
-def _(answer: Unknown) -> Rendered:
-    body = {
-        "outcome": "unknown",
-        "request_id": answer.request_id,
-        "error": answer.error.as_dict(),
-    }
-    return Rendered(answer.error.http_status, json.dumps(body).encode())
--- a/auburnway/core/request.py
+++ b/auburnway/core/request.py
@@ -28,6 +28,8 @@
       deadline_at_ms: Instant on the entry's monotonic clock.
       query_json: The query as canonical JSON.
       idempotency_key: Empty for repeatable kinds.
+      may_be_resend: True for a key that the caller does not mark as its
+        first attempt.
     """
 
     request_id: str
@@ -37,6 +39,20 @@
     deadline_at_ms: float
     query_json: bytes
     idempotency_key: str
+    may_be_resend: bool = False
+
+
+def may_be_resend(body: bytes) -> bool:
+    """Whether an unchecked body may repeat an earlier non-repeatable one."""
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(data, dict) and _may_be_resend(data)
+
+
+def _may_be_resend(data: dict[str, typing.Any]) -> bool:
+    return bool(data.get("idempotency_key")) and data.get("attempt") != 1
 
 
 def parse(
@@ -97,6 +113,7 @@
                 data["query"], sort_keys=True, separators=(",", ":")
             ).encode(),
             idempotency_key=data.get("idempotency_key") or "",
+            may_be_resend=_may_be_resend(data),
         )
     )
 
--- a/auburnway/entry/admitter.py
+++ b/auburnway/entry/admitter.py
@@ -8,7 +8,6 @@
 from collections import abc
 import typing
 
-from auburnway.core import answer as answer_lib
 from auburnway.core import clock as clock_lib
 from auburnway.core import configuration as configuration_lib
 from auburnway.core import errors
@@ -31,7 +30,9 @@
         table: membership.Table,
         sharing: typing.Any,
         peer_demands: abc.Callable[[], dict[str, dict]],
-        refuse: abc.Callable[[request_lib.Request, answer_lib.NotRun], None],
+        refuse: abc.Callable[
+            [request_lib.Request, errors.Error, float | None], None
+        ],
     ):
         self._clock = clock
         self._table = table
@@ -53,6 +54,7 @@
         old_policy = self._configuration.policy("admission", "ranked")
         policy = configuration.policy("admission", "ranked")
         self._configuration = configuration
+        self._sharing.reconfigure(configuration.ranks)
         if policy != old_policy:
             # Waiting requests stay in the old queue until it is empty, so
             # the plug-in is exchanged only for applications without any.
@@ -90,12 +92,7 @@
             self._poll(application)
         else:
             error = errors.Overloaded(decision.reason, request.request_id)
-            self._refuse(
-                request,
-                answer_lib.NotRun(
-                    request.request_id, error, decision.retry_after_ms
-                ),
-            )
+            self._refuse(request, error, decision.retry_after_ms)
 
     def finish(self, request: request_lib.Request) -> None:
         """Frees the slots of a request that has ended."""
@@ -140,7 +137,10 @@
 
     def _set_limit(self, application, queue, now_ms: float) -> None:
         peers = {
-            name: demand.get(application, {})
+            name: {
+                rank: (count, 0)
+                for rank, count in demand.get(application, {}).items()
+            }
             for name, demand in self._peer_demands().items()
         }
         sheds = self._sheds.pop(application, 0)
@@ -181,7 +181,7 @@
         for request_id, reason in dropped:
             request, _ = self._waiting.pop(request_id)
             error = errors.DeadlineExceeded(reason, request_id)
-            self._refuse(request, answer_lib.NotRun(request_id, error))
+            self._refuse(request, error, None)
         for request_id in started:
             _, start = self._waiting.pop(request_id)
             self._starts[application] = self._starts.get(application, 0) + 1
--- a/auburnway/entry/crash_guard.py
+++ b/auburnway/entry/crash_guard.py
@@ -15,6 +15,7 @@
 from auburnway.core import membership
 from auburnway.core import request as request_lib
 from auburnway.kernel import mailbox as mailbox_lib
+from auburnway.policy import quarantine as quarantine_lib
 from auburnway.rpc import control_pb2
 
 CONTROL_TIMEOUT_MS = 300.0
@@ -47,7 +48,7 @@
 
     def fingerprint(self, request: request_lib.Request) -> str:
         """Identifies requests that are likely to behave alike."""
-        return self._quarantine.fingerprint(
+        return quarantine_lib.fingerprint(
             request.caller.name, request.kind.name, request.query_json
         )
 
--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -129,7 +129,14 @@
         self._launch(first)
         if not self._holds_trial:
             delay_ms = self._backends.hedger.delay_ms(application)
-            self._after(delay_ms or CANARY_WAIT_MS, self._launch_all)
+            self._after(
+                delay_ms or CANARY_WAIT_MS, lambda: self._pass_canary(first)
+            )
+
+    def _pass_canary(self, canary: sub_request.Shard) -> None:
+        """Stops waiting for a slow canary; a lost one still holds the rest."""
+        if canary.attempts:
+            self._launch_all()
 
     def _launch_all(self) -> None:
         """Launches the shards that wait; arms one hedge timer for all."""
@@ -291,12 +298,7 @@
             if self._holds_trial:
                 self._holds_trial = False
                 guard.end_trial(self._request, "lost", attempt.row)
-                self._end(
-                    answer_lib.Unknown(
-                        self._request.request_id,
-                        errors.Quarantined(source=self._request.request_id),
-                    )
-                )
+                self._refuse_as_quarantined()
                 return
             if self._finished or not shard.open or shard.attempts:
                 return
@@ -329,9 +331,22 @@
                 ),
             )
             return
-        if live:
-            shard.failed = True
+        if not live:
+            return
+        shard.failed = True
+        if all(other.launched for other in self._shards.values()):
             self._check_complete()
+        elif state == "refused":
+            self._refuse_as_quarantined()
+        else:
+            # The canary was lost, and nobody counts another trial.
+            self._finish()
+
+    def _refuse_as_quarantined(self) -> None:
+        """Ends a request that ran and lost a backend server."""
+        source = self._request.request_id
+        error = errors.Quarantined(source=source)
+        self._end(answer_lib.Unknown(source, error))
 
     def _retry_paid(self, shard: sub_request.Shard) -> None:
         if self._finished or not shard.open or shard.attempts:
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -11,7 +11,9 @@
 from auburnway.core import answer as answer_lib
 from auburnway.core import configuration as configuration_lib
 from auburnway.core import errors
+from auburnway.core import isolation
 from auburnway.core import membership
+from auburnway.core import peer_state
 from auburnway.core import request as request_lib
 from auburnway.entry import admitter as admitter_lib
 from auburnway.entry import backends as backends_lib
@@ -56,7 +58,7 @@
         incarnation = str(self._started_wall_ms)
         self._sequence = 0
         self._leaving = False
-        self._unanswered = 0
+        self._entry_count = len(settings.seed_peers) + 1
         registry.load("auburnway.policy")
 
         mailbox = mailbox_lib.Mailbox().register(loop.root)
@@ -79,11 +81,11 @@
             data_center=settings.data_center,
             seeds=settings.seed_peers,
             token=settings.token,
-            mode=settings.when_isolated,
             table=self._table,
             on_row=self._on_row,
             on_configuration=self._on_peer_configuration,
             on_strikes=lambda strikes: self._guard.merge(strikes),
+            mode=isolation.Mode(settings.when_isolated),
         ).register(loop.root)
         loop.stack.callback(self._peers.close)
         self._guard = crash_guard.CrashGuard(
@@ -120,7 +122,7 @@
             loop.timers,
             self._table,
             slot_sharing.Sharing(len(settings.seed_peers) + 1),
-            self._peers.demands,
+            self._peer_demands,
             self._refuse,
         )
         self._respond: dict[str, typing.Any] = {}
@@ -180,9 +182,9 @@
         request_id = (
             f"{self._settings.name}-{self._started_wall_ms}-{self._sequence}"
         )
-        if not self._peers.may_serve():
+        if not self._may_serve():
             error = errors.Isolated(source=request_id)
-            respond(answer_lib.render(answer_lib.NotRun(request_id, error)))
+            self._refuse_unparsed(request_id, error, body, respond)
             return
         parsed = request_lib.parse(
             body,
@@ -192,8 +194,8 @@
             self._clock.wall_ms(),
         )
         if not pipeline.is_successful(parsed):
-            answer = answer_lib.NotRun(request_id, parsed.failure())
-            respond(answer_lib.render(answer))
+            error = parsed.failure()
+            self._refuse_unparsed(request_id, error, body, respond)
             return
         request = parsed.unwrap()
 
@@ -209,8 +211,7 @@
 
         self._respond[request_id] = on_rendered
         if self._guard.refused(request):
-            error = errors.Quarantined(source=request_id)
-            self._refuse(request, answer_lib.NotRun(request_id, error))
+            self._refuse(request, errors.Quarantined(source=request_id), None)
             return
         self._admitter.offer(request, lambda: self._start(request))
 
@@ -229,10 +230,23 @@
         work.start()
 
     def _refuse(
-        self, request: request_lib.Request, answer: answer_lib.NotRun
+        self,
+        request: request_lib.Request,
+        error: errors.Error,
+        retry_after_ms: float | None,
     ) -> None:
+        answer = answer_lib.refuse(
+            request.request_id, error, request.may_be_resend, retry_after_ms
+        )
         self._answer(request, answer)
 
+    @staticmethod
+    def _refuse_unparsed(request_id, error, body, respond) -> None:
+        answer = answer_lib.refuse(
+            request_id, error, request_lib.may_be_resend(body)
+        )
+        respond(answer_lib.render(answer))
+
     def _answer(
         self, request: request_lib.Request, answer: answer_lib.Answer
     ) -> None:
@@ -267,6 +281,8 @@
         if self._table.put(row, self._clock.now_ms()):
             self._on_row(row)
             self._peers.announce_row(row)
+        else:
+            self._peers.renew_row(row.name)
         data = {
             "heartbeat_ms": self._settings.heartbeat_ms,
             "entries": self._peers.addresses(),
@@ -280,9 +296,8 @@
             self._pool.remove_server(row.address)
             self._backends.chooser.forget(row.name)
             return
-        entries = max(len(self._peers.status()["entries"]), 1)
         # One share is left for the entry that replaces another.
-        limit = max(row.connection_limit // (entries + 1), 1)
+        limit = max(row.connection_limit // (self._entry_count + 1), 1)
         self._pool.set_server(row.address, limit, min(WARM_CONNECTIONS, limit))
         if known.state is membership.State.SERVING:
             self._backends.chooser.added(row.name, self._clock.now_ms())
@@ -343,22 +358,40 @@
             self._lease.take(configuration_lib.decode(data))
 
     def _on_lease(self, lease_end_ms: float, entry_names) -> None:
+        self._entry_count = max(self._entry_count, len(entry_names))
         self._peers.set_registered(entry_names)
         self._share()
 
     def _share(self) -> None:
         """Tells the peers what they need to know of this entry."""
         configuration = self._lease.configuration
+        number = configuration.number
+        if not self._lease.has_read:
+            number = peer_state.NO_NUMBER
         self._peers.set_own(
-            number=configuration.number,
+            number=number,
             digest=configuration.digest,
             lease_end_ms=self._lease.lease_end_ms,
-            has_read=self._lease.has_read,
             leaving=self._leaving,
-            demand=self._admitter.demand(),
+            demand={
+                application: {rank: sum(counts) for rank, counts in ranks}
+                for application, ranks in self._demand_items()
+            },
         )
         self._backends.budget.set_overloaded(self._admitter.waiting_count() > 0)
 
+    def _demand_items(self):
+        for application, ranks in self._admitter.demand().items():
+            yield application, ranks.items()
+
+    def _peer_demands(self) -> dict[str, peer_state.Demand]:
+        demands = self._peers.demands()
+        demands.pop(self._settings.name, None)
+        return demands
+
+    def _may_serve(self) -> bool:
+        return isinstance(self._peers.may_serve(), isolation.Serving)
+
     # Status.
 
     def _on_status(self, body, headers, respond) -> None:
@@ -375,7 +408,7 @@
         data = {
             "entry": self._settings.name,
             "configuration_number": configuration.number,
-            "leased": self._peers.may_serve(),
+            "leased": self._may_serve(),
             "leaving": self._leaving,
             "kinds": [kind.name for kind in configuration.kinds],
             "peers": self._peers.status(),
--- a/auburnway/entry/non_repeatable.py
+++ b/auburnway/entry/non_repeatable.py
@@ -48,6 +48,7 @@
         self._claim: claim_client.Claim | None = None
         self._tried: set[str] = set()
         self._exchange: http_client.Exchange | None = None
+        self._found_open = False
         self._answered = False
         self._settled = False
         self._sequence = 0
@@ -83,7 +84,7 @@
         if claim is None:
             # The claim may have been granted without our knowing. Nothing
             # was dispatched, and the claim client settles it as not run.
-            self._not_run(errors.ControlUnavailable(source=request_id))
+            self._refuse(errors.ControlUnavailable(source=request_id))
         elif claim.state == "granted":
             self._claim = claim
             if self._answered:
@@ -95,13 +96,14 @@
         elif claim.state == "done":
             self._answer(answer_lib.Recorded(request_id, claim.result))
         elif claim.state == "open":
+            self._found_open = True
             self._backends.timers.after(OPEN_PAUSE_MS, self._ask_claim)
         elif claim.state == "refused":
-            self._not_run(errors.ControlUnavailable(source=request_id))
+            self._refuse(errors.ControlUnavailable(source=request_id))
         elif claim.state == "conflict":
             self._not_run(errors.KeyConflict(source=request_id))
         elif claim.state == "expired":
-            self._not_run(errors.KeyExpired(source=request_id))
+            self._refuse(errors.KeyExpired(source=request_id))
         else:
             self._unknown("an earlier attempt with this key ended unknown")
 
@@ -259,10 +261,15 @@
             if self._exchange is not None:
                 # It waits for a connection; nothing was sent, nor will be.
                 self._exchange.abandon()
-            # A claim that is granted only later is settled then.
+            error = errors.DeadlineExceeded(source=source)
             if self._claim is not None:
                 self._settle("not_run")
-            self._not_run(errors.DeadlineExceeded(source=source))
+                self._not_run(error)
+            elif self._found_open:
+                self._unknown("another attempt with this key is in progress")
+            else:
+                # A claim that is granted only later is settled then.
+                self._refuse(error)
             return
         self._unknown("the backend server has not answered in time")
         self._backends.timers.after(LATE_REPLY_MS, self._give_up)
@@ -282,6 +289,13 @@
         if trial:
             self._backends.guard.end_trial(self._request, outcome, row)
 
+    def _refuse(self, error: errors.Error) -> None:
+        """Refuses without knowledge of the claim."""
+        request = self._request
+        self._answer(
+            answer_lib.refuse(request.request_id, error, request.may_be_resend)
+        )
+
     def _not_run(self, error: errors.Error) -> None:
         self._answer(answer_lib.NotRun(self._request.request_id, error))
 
--- /dev/null
+++ b/auburnway/entry/testing.py
@@ -0,0 +1,237 @@
+"""Fakes at the entry's interfaces, for its tests."""
+
+import json
+import random
+
+from returns import result
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import membership
+from auburnway.core import request as request_lib
+from auburnway.core import snapshot as snapshot_lib
+from auburnway.entry import backends as backends_lib
+from auburnway.entry import claim_client
+from auburnway.entry import crash_guard
+from auburnway.kernel import timers as timers_lib
+from auburnway.net import http_client
+from auburnway.policy import quarantine
+from auburnway.policy import replica_choice
+from auburnway.policy import retry_budget
+from auburnway.rpc import control_pb2
+
+
+class FakePool:
+    """Keeps exchanges until the test answers them."""
+
+    def __init__(self):
+        self.open: list[tuple[str, dict, dict, http_client.Exchange]] = []
+        self.cancelled: list[str] = []
+        self.sent: list[tuple[str, dict]] = []
+
+    def send(self, address, payload, on_reply, max_silence_ms=None):
+        head, _, body = payload.partition(b"\r\n\r\n")
+        exchange = http_client.Exchange(payload, on_reply, 0.0)
+        data = json.loads(body)
+        if b"/v1/cancel" in head:
+            self.cancelled.append(data["request_id"])
+            return exchange
+        lines = head.decode().split("\r\n")[1:]
+        headers = dict(line.split(": ", 1) for line in lines)
+        exchange.sent = True
+        self.open.append((address, headers, data, exchange))
+        self.sent.append((address, data))
+        return exchange
+
+    def has_capacity(self, address):
+        return True
+
+    def waiting(self, shard=None):
+        """Returns the exchanges that still want a reply."""
+        return [
+            each
+            for each in self.open
+            if each[3].on_reply is not None
+            and (shard is None or each[2]["shard"] == shard)
+        ]
+
+    def answer(self, each, records=(), **changes):
+        """Gives a good reply; `changes` replaces fields of its body."""
+        _, headers, data, exchange = each
+        body = {
+            "request_id": headers["x-request-id"],
+            "snapshot": data["snapshot"],
+            "shard": data["shard"],
+            "records": list(records) or [f"r{data['shard']}"],
+            **changes,
+        }
+        exchange.finish(
+            http_client.Reply(200, {}, json.dumps(body).encode(), None, True)
+        )
+
+    def refuse(self, each, status=503):
+        """Replies that the work did not start."""
+        headers = {"x-not-started": "1"}
+        each[3].finish(http_client.Reply(status, headers, b"", None, True))
+
+    def lose(self, each, reached=True):
+        """Loses the connection."""
+        failure = (
+            http_client.Failure.CONNECTION_LOST
+            if reached
+            else http_client.Failure.CONNECT_FAILED
+        )
+        each[3].finish(http_client.Reply(0, {}, b"", failure, reached))
+
+
+class FakeControl:
+    """Answers each method from a list of replies, in order.
+
+    A method without replies left is not answered; None is a failed call.
+    """
+
+    def __init__(self):
+        self.replies: dict[str, list] = {}
+        self.calls: list[tuple[str, object]] = []
+        self.pending: list = []
+
+    def call_async(self, method, request, timeout_ms, on_done):
+        self.calls.append((method, request))
+        replies = self.replies.get(method)
+        if not replies:
+            self.pending.append((method, on_done))
+            return
+        reply = replies.pop(0)
+        on_done(
+            result.Failure("no answer")
+            if reply is None
+            else result.Success(reply)
+        )
+
+    def count(self, method):
+        """Returns how often a method was called."""
+        return sum(name == method for name, _ in self.calls)
+
+
+class DirectMailbox:
+    """Runs posted functions at once."""
+
+    def post(self, function):
+        function()
+
+
+class FixedHedger:
+    """Hedges once after a fixed delay."""
+
+    max_extra = 1
+    budgeted = True
+    cancels_previous = False
+
+    def __init__(self, fixed_delay_ms=20.0):
+        self._fixed_delay_ms = fixed_delay_ms
+
+    def observe(self, application, latency_ms, now_ms):
+        """Does nothing."""
+
+    def delay_ms(self, application):
+        return self._fixed_delay_ms
+
+
+class Bench:
+    """An entry's parts around fakes, with a clock moved by hand."""
+
+    def __init__(self, shards=3, replicas=2, canary="off", snapshots=(1,)):
+        self.clock = clock_lib.ManualClock(1000.0, 1_800_000_000_000)
+        self.timers = timers_lib.TimerQueue(self.clock)
+        self.pool = FakePool()
+        self.control = FakeControl()
+        self.table = membership.Table(5000.0)
+        self.answers = []
+        rng = random.Random(1)
+        guard = crash_guard.CrashGuard(
+            quarantine.Quarantine(600_000.0),
+            self.control,
+            DirectMailbox(),
+            self.clock,
+            "entry-1",
+            "i1",
+            lambda strikes: None,
+        )
+        self.backends = backends_lib.Backends(
+            pool=self.pool,
+            timers=self.timers,
+            clock=self.clock,
+            table=self.table,
+            rng=rng,
+            chooser=replica_choice.Chooser(rng, "dc1"),
+            hedger=FixedHedger(),
+            budget=retry_budget.Budget(),
+            guard=guard,
+            on_state=lambda name, state: None,
+        )
+        self.claims = claim_client.ClaimClient(
+            self.control,
+            DirectMailbox(),
+            self.timers,
+            self.clock,
+            "entry-1",
+            "i1",
+        )
+        # Earlier traffic has filled the budget of hedges and retries.
+        for _ in range(400):
+            self.backends.budget.on_sub_request()
+        self.canary = canary
+        for shard in range(shards):
+            for replica in range(replicas):
+                self.put_server(f"s{shard}-{replica}", shard, shards, snapshots)
+
+    def put_server(self, name, shard, shards, snapshots, sequence=1, weight=10):
+        """Announces a backend server."""
+        weights = tuple((s, weight + s) for s in range(shards))
+        row = membership.Row(
+            name=name,
+            started_ms=1,
+            sequence=sequence,
+            application="app",
+            address=name,
+            data_center="dc1",
+            state=membership.State.SERVING,
+            slots=3,
+            connection_limit=10,
+            holdings=tuple(snapshot_lib.Holding(s, shard) for s in snapshots),
+            manifests=tuple(
+                snapshot_lib.Manifest(s, weights) for s in snapshots
+            ),
+        )
+        self.table.put(row, self.clock.now_ms())
+
+    def request(
+        self, request_id="q1", deadline_ms=500.0, key="", may_be_resend=False
+    ):
+        """Returns a request of one caller and kind."""
+        kind = configuration_lib.Kind(
+            "find", "app", "urgent", repeatable=not key, canary=self.canary
+        )
+        return request_lib.Request(
+            request_id=request_id,
+            caller=configuration_lib.Caller("caller"),
+            kind=kind,
+            rank=configuration_lib.Rank("urgent", 0, 0.5, 200.0),
+            deadline_at_ms=self.clock.now_ms() + deadline_ms,
+            query_json=b'{"a":"b"}',
+            idempotency_key=key,
+            may_be_resend=may_be_resend,
+        )
+
+    def advance(self, duration_ms, step_ms=1.0):
+        """Moves the clock and runs what comes due."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(step_ms)
+            self.timers.run_due()
+
+    def grant_claim(self, attempt=1):
+        """Returns control's grant of a claim."""
+        return control_pb2.ClaimReply(
+            state="granted", claim_id=7, attempt=attempt, entry_incarnation="i1"
+        )
