Answer broken HTTP with a typed 4xx

Cause: circuits.web's parser raises for a Content-Length that is no number, which became a 500; its tracebacks are lists of lines, which broke the log. Ruled out: checking headers ahead of the parser; that would be a second parser. Change: an error before any route has seen the request is the caller's.

--- a/auburnway/demo/site.py
+++ b/auburnway/demo/site.py
@@ -43,13 +43,13 @@
 
     name: str = settings.setting("Name of the site.")
     data_centers: tuple[str, ...] = settings.setting("Data centres.")
+    note_file: str = settings.setting("First release note, beside this file.")
+    second_note_file: str = settings.setting("Second release note.")
+    applications: tuple[Application, ...] = settings.setting("Applications.")
     entries: int = settings.setting("Entry processes.", 7, low=1, high=16)
     control_instances: int = settings.setting(
         "Control processes with a disk.", 3, low=1, high=7
     )
-    note_file: str = settings.setting("First release note, beside this file.")
-    second_note_file: str = settings.setting("Second release note.")
-    applications: tuple[Application, ...] = settings.setting("Applications.")
     queries: tuple[Query, ...] = settings.setting("Requests to send.", ())
     load_ms: float = settings.setting("Length of the load, ms.", 12_000.0)
     load_rate: float = settings.setting("Requests a second.", 40.0)
--- a/auburnway/entry/front.py
+++ b/auburnway/entry/front.py
@@ -166,18 +166,19 @@
         return True
 
     @core.handler("httperror", priority=10)
-    def _on_httperror(self, event, request, response, code=None, **details):
+    def _on_httperror(self, event, request, response, code=None, **_):
         event.stop()
-        kind = (details.get("error") or (None,))[0]
-        # The parser raises ValueError for a header that is not a number.
-        if kind is ValueError or code is not None and code < 500:
-            error = errors.BadRequest(f"HTTP error {code or 400}")
-        else:
-            error = errors.Error("unexpected error in the HTTP server")
-        response.close = True
         client = self._clients.get(request.sock)
-        if client is not None:
+        if client is None:
+            return
+        if client.pending:
+            error = errors.Error("unexpected error in the HTTP server")
+        else:
+            # No route has seen the request, so its bytes are at fault; the
+            # parser raises various exceptions for a bad header.
+            error = errors.BadRequest(f"HTTP error {code or 400}")
             client.pending = True
+        response.close = True
         self._respond(request, response, render_error(error))
 
     def _respond(self, request, response, rendered) -> None:
--- a/auburnway/kernel/process.py
+++ b/auburnway/kernel/process.py
@@ -86,7 +86,11 @@
 
     @core.handler("exception", channel="*", priority=100)
     def _on_exception(self, kind, value, traceback, **_):
-        # circuits goes on silently after a handler raised.
-        loguru.logger.opt(exception=(kind, value, traceback)).error(
-            "unexpected exception in an event handler"
+        # circuits goes on silently after a handler raised, and passes the
+        # traceback as formatted lines.
+        loguru.logger.error(
+            "unexpected exception in an event handler",
+            exception_type=kind.__name__,
+            exception_text=str(value),
+            traceback="".join(traceback),
         )
