--- /dev/null
+++ b/auburnway/core/raft.py
@@ -0,0 +1,490 @@
+"""Raft rules of one node, without sockets, files or threads.
+
+Messages and clock ticks go in; an `Output` says what to write and to send.
+Each public method returns the output of that step. The node that owns this
+object writes and syncs what the output names before it sends, applies or
+answers anything, so nothing is acknowledged that a crash can take back.
+
+Leader work is in `raft_leader`; this module holds terms, elections and the
+follower's log.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import random
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import raft_leader
+from auburnway.core import raft_log
+from auburnway.core import raft_records as records
+
+HEARTBEAT_MS = 100.0
+ELECTION_MIN_MS = 500.0
+ELECTION_MAX_MS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """Identity and periods of one node.
+
+    Attributes:
+      incarnation: Identity of this life of the data folder.
+      heartbeat_ms: Period of the leader's heartbeats.
+      election_min_ms: Least time without a leader before an election. A node
+        that heard its leader within it ignores other candidates.
+      election_max_ms: Greatest such time.
+    """
+
+    incarnation: str
+    heartbeat_ms: float = HEARTBEAT_MS
+    election_min_ms: float = ELECTION_MIN_MS
+    election_max_ms: float = ELECTION_MAX_MS
+
+
+class Raft:
+    """One Raft node.
+
+    Args:
+      config: Identity and periods.
+      hard_state: Hard state read from disk.
+      log: Log read from disk.
+      clock: Source of time.
+      rng: Source of the random election timeouts.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        hard_state: records.HardState,
+        log: raft_log.Log,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ):
+        self.config = config
+        self.log = log
+        self.role = records.Role.FOLLOWER
+        self.leader = ""
+        self.commit = log.snapshot.index
+        self._state = hard_state
+        self._clock = clock
+        self._rng = rng
+        self._votes: dict[str, bool] = {}
+        self._pre_vote = False
+        self._leading: raft_leader.Leading | None = None
+        self._heard_ms = float("-inf")
+        self._election_due_ms = 0.0
+        self._reset_election()
+        self._clear_output()
+        self._refresh_members()
+        self._become_follower("")
+
+    @property
+    def term(self) -> int:
+        """Latest term seen."""
+        return self._state.term
+
+    @property
+    def hard_state(self) -> records.HardState:
+        """Current term and vote."""
+        return self._state
+
+    @property
+    def members(self) -> records.Members:
+        """Latest member set, committed or not."""
+        return self._members
+
+    @property
+    def leading(self) -> raft_leader.Leading | None:
+        """Leader's bookkeeping; None unless this node is the leader."""
+        return self._leading
+
+    def member(self, incarnation: str) -> records.Member | None:
+        """Returns the member of this incarnation, or None."""
+        return self._by_incarnation.get(incarnation)
+
+    def is_voter(self, incarnation: str) -> bool:
+        """Whether the latest member set counts this incarnation."""
+        member = self.member(incarnation)
+        return member is not None and member.voter
+
+    def hears_leader(self) -> bool:
+        """Whether this node leads or heard its leader a short time ago."""
+        if self._leading is not None:
+            return self._leading.has_quorum()
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        return bool(self.leader) and silent_ms < self.config.election_min_ms
+
+    def step(self, message: records.Message) -> records.Output:
+        """Handles one received message."""
+        if message.target == self.config.incarnation and self._admits(message):
+            _handle(message, self)
+        return self._take_output()
+
+    def tick(self) -> records.Output:
+        """Handles the passing of time; call at least each heartbeat / 2."""
+        if self._leading is not None:
+            self._leading.tick()
+        elif self._clock.now_ms() >= self._election_due_ms:
+            if self.is_voter(self.config.incarnation):
+                self._campaign(pre_vote=True)
+            else:
+                self.leader = ""
+                self._reset_election()
+        return self._take_output()
+
+    def propose(self, commands: abc.Sequence[bytes]) -> records.Output:
+        """Appends commands as the leader.
+
+        Returns:
+          Output whose `appended` holds one entry per command in order; empty
+          when this node is not the leader or is handing leadership over.
+        """
+        if self._leading is not None and not self._leading.transferring:
+            self._leading.append(records.Kind.COMMAND, commands)
+        return self._take_output()
+
+    def read_index(
+        self, contexts: abc.Sequence[int], at_once: bool = True
+    ) -> records.Output:
+        """Asks for a linearizable read.
+
+        Args:
+          contexts: Numbers that come back in `reads` or `failed_reads`.
+          at_once: Starts a heartbeat round now instead of with the next
+            periodic one.
+        """
+        if self._leading is None:
+            self._failed_reads.extend(contexts)
+        else:
+            self._leading.read(contexts, at_once)
+        return self._take_output()
+
+    def join(self, member: records.Member) -> records.Output:
+        """Adds a learner that will replace its name's old incarnation."""
+        if self._leading is not None:
+            self._leading.join(member)
+        return self._take_output()
+
+    def transfer(self) -> records.Output:
+        """Hands leadership to the voter that is most caught up."""
+        if self._leading is not None:
+            self._leading.transfer()
+        return self._take_output()
+
+    def compact(self, index: int, data: bytes) -> records.Snapshot:
+        """Replaces the log up to an applied index by a snapshot.
+
+        The caller saves the snapshot before it replaces the stored log.
+        """
+        assert index <= self.commit
+        snapshot = self.log.compact(index, data)
+        self._refresh_members()
+        return snapshot
+
+    def send(self, message: records.Message) -> None:
+        """Queues a message for the output."""
+        self._messages.append(message)
+
+    def put_entries(self, entries: abc.Sequence[records.Entry]) -> None:
+        """Adds entries to the log and to the output."""
+        if entries:
+            first = entries[0].index
+            assert first > self.commit, "a committed entry would be replaced"
+            if first <= self.log.last_index:
+                truncated = self._truncated_from
+                self._truncated_from = min(truncated or first, first)
+            if self.log.put(entries):
+                self._refresh_members()
+            self._appended.extend(entries)
+
+    def commit_to(self, index: int) -> None:
+        """Raises the commit index."""
+        index = min(index, self.log.last_index)
+        if index > self.commit:
+            entries = self.log.between(self.commit + 1, index)
+            self._committed.extend(entries)
+            self.commit = index
+
+    def add_reads(self, reads: abc.Iterable[records.Read]) -> None:
+        """Adds confirmed reads to the output."""
+        self._reads.extend(reads)
+
+    def step_down(self) -> None:
+        """Leaves leadership without a new term."""
+        self._become_follower("")
+
+    def _admits(self, message: records.Message) -> bool:
+        """Applies the term rules; False when the message is to be ignored."""
+        is_request = isinstance(message, records.VoteRequest)
+        if is_request and not message.transfer and self.hears_leader():
+            # A node that cannot hear the leader must not depose it.
+            return False
+        is_reply = isinstance(message, records.VoteReply | records.AppendReply)
+        if is_reply and self.member(message.source) is None:
+            return False
+        if message.term > self.term:
+            tentative = (is_request and message.pre_vote) or (
+                isinstance(message, records.VoteReply)
+                and message.pre_vote
+                and message.granted
+            )
+            if not tentative:
+                self._set_state(records.HardState(message.term))
+                self._become_follower("")
+        return True
+
+    def _set_state(self, state: records.HardState) -> None:
+        self._state = state
+        self._hard_state = state
+
+    def _become_follower(self, leader: str) -> None:
+        if self._leading is not None:
+            self._failed_reads.extend(self._leading.close())
+            self._leading = None
+            self._reset_election()
+        self.leader = leader
+        self._votes = {}
+        self._set_role()
+
+    def _set_role(self) -> None:
+        if self._leading is not None:
+            self.role = records.Role.LEADER
+        elif not self.is_voter(self.config.incarnation):
+            self.role = records.Role.LEARNER
+        else:
+            self.role = records.Role.FOLLOWER
+
+    def _reset_election(self) -> None:
+        self._election_due_ms = self._clock.now_ms() + self._rng.uniform(
+            self.config.election_min_ms, self.config.election_max_ms
+        )
+
+    def _campaign(self, pre_vote: bool, transfer: bool = False) -> None:
+        self._become_follower("")
+        self.role = records.Role.CANDIDATE
+        self._reset_election()
+        self._pre_vote = pre_vote
+        term = self.term + 1
+        if not pre_vote:
+            self._set_state(records.HardState(term, self.config.incarnation))
+        self._votes = {self.config.incarnation: True}
+        for member in self._members:
+            if member.voter and member.incarnation != self.config.incarnation:
+                self.send(
+                    records.VoteRequest(
+                        self.config.incarnation,
+                        member.incarnation,
+                        term,
+                        self.log.last_index,
+                        self.log.last_term,
+                        pre_vote,
+                        transfer,
+                    )
+                )
+        self._count_votes()
+
+    def _count_votes(self) -> None:
+        voters = [m.incarnation for m in self._members if m.voter]
+        granted = sum(self._votes.get(v, False) for v in voters)
+        if granted * 2 <= len(voters):
+            return
+        if self._pre_vote:
+            self._campaign(pre_vote=False)
+        else:
+            self.leader = self.config.incarnation
+            self._votes = {}
+            self._leading = raft_leader.Leading(self, self._clock)
+            self._set_role()
+            self._leading.start()
+
+    def _may_vote(self, request: records.VoteRequest) -> bool:
+        if not self._members:
+            # An empty data folder must not help to elect anyone.
+            return False
+        ours = (self.log.last_term, self.log.last_index)
+        theirs = (request.last_term, request.last_index)
+        known = self.is_voter(request.source)
+        if not known or not self.is_voter(self.config.incarnation):
+            # Only an entry that this node lacks can have made the candidate,
+            # or this node, a voter. Refusing here too would leave no quorum
+            # when a leader is lost right after it committed that entry.
+            return theirs > ours
+        return theirs >= ours
+
+    def on_vote_request(self, request: records.VoteRequest) -> None:
+        """Answers a vote or pre-vote request."""
+        current = request.term >= self.term
+        if request.pre_vote:
+            granted = request.term > self.term and self._may_vote(request)
+        else:
+            free = self._state.vote in ("", request.source)
+            granted = current and free and self._may_vote(request)
+            if granted and not self._state.vote:
+                self._set_state(records.HardState(self.term, request.source))
+                self._reset_election()
+        self.send(
+            records.VoteReply(
+                self.config.incarnation,
+                request.source,
+                request.term if granted else self.term,
+                granted,
+                request.pre_vote,
+            )
+        )
+
+    def on_vote_reply(self, reply: records.VoteReply) -> None:
+        """Counts a vote."""
+        expected = self.term + 1 if self._pre_vote else self.term
+        if (
+            self.role is records.Role.CANDIDATE
+            and reply.pre_vote == self._pre_vote
+            and reply.granted
+            and reply.term == expected
+        ):
+            self._votes[reply.source] = True
+            self._count_votes()
+
+    def on_elect_now(self, message: records.ElectNow) -> None:
+        """Starts the election that the leader asked for."""
+        current = message.term == self.term
+        if current and self.is_voter(self.config.incarnation):
+            self._campaign(pre_vote=False, transfer=True)
+
+    def _follow(self, message: records.Message) -> bool:
+        """Accepts the sender as the leader of the current term."""
+        if message.term < self.term:
+            self._reply(message, False, self.log.last_index)
+            return False
+        if self.leader != message.source:
+            self._become_follower(message.source)
+        self._heard_ms = self._clock.now_ms()
+        self._reset_election()
+        return True
+
+    def _reply(self, message, accepted: bool, index: int) -> None:
+        self.send(
+            records.AppendReply(
+                self.config.incarnation,
+                message.source,
+                self.term,
+                accepted,
+                index,
+                message.round,
+            )
+        )
+
+    def on_append(self, message: records.Append) -> None:
+        """Adds the leader's entries where the logs match."""
+        if not self._follow(message):
+            return
+        previous, entries = message.previous_index, message.entries
+        if previous < self.log.snapshot.index:
+            # Committed here already; entries up to the snapshot match.
+            skipped = self.log.snapshot.index - previous
+            entries = entries[skipped:]
+            previous = self.log.snapshot.index
+            if not entries:
+                self._reply(message, True, previous)
+                return
+        elif self.log.term(previous) != message.previous_term:
+            self._reply(message, False, self._look_back(previous))
+            return
+        last = previous + len(entries)
+        new = [e for e in entries if self.log.term(e.index) != e.term]
+        if new:
+            self.put_entries(entries[new[0].index - previous - 1 :])
+        self.commit_to(min(message.commit, last))
+        self._reply(message, True, last)
+
+    def _look_back(self, previous: int) -> int:
+        """Returns an index at or before which the logs may match."""
+        if previous > self.log.last_index:
+            return self.log.last_index
+        # Skip the whole conflicting term in one exchange.
+        term, index = self.log.term(previous), previous - 1
+        while index > self.commit and self.log.term(index) == term:
+            index -= 1
+        return index
+
+    def on_snapshot(self, message: records.InstallSnapshot) -> None:
+        """Adopts a snapshot that is newer than the commit index."""
+        if not self._follow(message):
+            return
+        snapshot = message.snapshot
+        if snapshot.index > self.commit:
+            self.log.install(snapshot)
+            self.commit = snapshot.index
+            self._snapshot = snapshot
+            # Entries of this step that the snapshot covers are not needed.
+            self._appended.clear()
+            self._committed.clear()
+            self._refresh_members()
+        self._reply(message, True, self.commit)
+
+    def _refresh_members(self) -> None:
+        self._members = self.log.members
+        self._by_incarnation = {m.incarnation: m for m in self._members}
+        if self.role is not records.Role.CANDIDATE:
+            self._set_role()
+
+    def _clear_output(self) -> None:
+        self._messages: list[records.Message] = []
+        self._hard_state: records.HardState | None = None
+        self._appended: list[records.Entry] = []
+        self._truncated_from: int | None = None
+        self._snapshot: records.Snapshot | None = None
+        self._committed: list[records.Entry] = []
+        self._reads: list[records.Read] = []
+        self._failed_reads: list[int] = []
+
+    def _take_output(self) -> records.Output:
+        output = records.Output(
+            tuple(self._messages),
+            self._hard_state,
+            tuple(self._appended),
+            self._truncated_from,
+            self._snapshot,
+            tuple(self._committed),
+            tuple(self._reads),
+            tuple(self._failed_reads),
+            self.role,
+        )
+        self._clear_output()
+        return output
+
+
+@functools.singledispatch
+def _handle(message: records.Message, node: Raft) -> None:
+    raise TypeError(f"no handler for {type(message).__name__}")
+
+
+@_handle.register
+def _(message: records.VoteRequest, node: Raft) -> None:
+    node.on_vote_request(message)
+
+
+@_handle.register
+def _(message: records.VoteReply, node: Raft) -> None:
+    node.on_vote_reply(message)
+
+
+@_handle.register
+def _(message: records.Append, node: Raft) -> None:
+    node.on_append(message)
+
+
+@_handle.register
+def _(message: records.InstallSnapshot, node: Raft) -> None:
+    node.on_snapshot(message)
+
+
+@_handle.register
+def _(message: records.ElectNow, node: Raft) -> None:
+    node.on_elect_now(message)
+
+
+@_handle.register
+def _(message: records.AppendReply, node: Raft) -> None:
+    if node.leading is not None and message.term == node.term:
+        node.leading.on_reply(message)
--- /dev/null
+++ b/auburnway/core/raft_leader.py
@@ -0,0 +1,338 @@
+"""Leader's side of the Raft rules: replication, reads, member changes."""
+
+from __future__ import annotations
+
+from collections import abc
+import dataclasses
+import typing
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import raft_records as records
+
+if typing.TYPE_CHECKING:
+    from auburnway.core import raft
+
+# Bytes of entries in one message; below gRPC's limit of 4 MB.
+MAX_MESSAGE_BYTES = 1 << 20
+# A snapshot is sent again when nothing was heard of it for this long.
+SNAPSHOT_RETRY_MS = 2000.0
+
+
+@dataclasses.dataclass
+class Progress:
+    """What the leader knows of one other member.
+
+    Attributes:
+      next_index: First entry to send.
+      match_index: Last entry known to be on the member's synced disk.
+      round: Last heartbeat round that the member answered.
+      heard_ms: Instant of the last answer.
+      snapshot_sent_ms: Instant at which a snapshot was sent that is not yet
+        answered; None without one.
+    """
+
+    next_index: int
+    heard_ms: float
+    match_index: int = 0
+    round: int = 0
+    snapshot_sent_ms: float | None = None
+
+
+class Leading:
+    """Work of a leader during one term.
+
+    Args:
+      node: Node that leads.
+      clock: Source of time.
+    """
+
+    def __init__(self, node: raft.Raft, clock: clock_lib.Clock):
+        self._node = node
+        self._clock = clock
+        self._me = node.config.incarnation
+        self._progress: dict[str, Progress] = {}
+        self._round = 0
+        self._heartbeat_due_ms = 0.0
+        # Reads in order of arrival: (context, round that confirms it, index).
+        self._reads: list[tuple[int, int, int]] = []
+        # Reads that arrived before an entry of this term was committed.
+        self._early_reads: list[int] = []
+        self._first_index = 0
+        self._joining: dict[str, records.Member] = {}
+        self._transfer_due_ms: float | None = None
+        self._transfer_target = ""
+
+    @property
+    def transferring(self) -> bool:
+        """Whether leadership is being handed over."""
+        return self._transfer_due_ms is not None
+
+    @property
+    def is_established(self) -> bool:
+        """Whether an entry of this term is committed."""
+        return self._node.commit >= self._first_index
+
+    def progress(self, incarnation: str) -> Progress | None:
+        """Returns what is known of another member."""
+        return self._progress.get(incarnation)
+
+    def has_quorum(self) -> bool:
+        """Whether a majority answered within one election timeout."""
+        since_ms = self._clock.now_ms() - self._node.config.election_min_ms
+        return self._majority(
+            lambda i: i == self._me or self._progress[i].heard_ms >= since_ms
+        )
+
+    def start(self) -> None:
+        """Appends the entry with which the term starts."""
+        self._first_index = self._node.log.last_index + 1
+        self._sync_progress()
+        self.append(records.Kind.NOOP, (b"",))
+
+    def close(self) -> tuple[int, ...]:
+        """Ends leadership; returns contexts of reads that fail."""
+        contexts = (*(read[0] for read in self._reads), *self._early_reads)
+        self._reads, self._early_reads = [], []
+        return contexts
+
+    def tick(self) -> None:
+        """Sends heartbeats and checks that a majority is heard."""
+        now_ms = self._clock.now_ms()
+        due_ms = self._transfer_due_ms
+        if not self.has_quorum():
+            self._node.step_down()
+            return
+        if due_ms is not None and now_ms >= due_ms:
+            self._transfer_due_ms = None
+        if now_ms >= self._heartbeat_due_ms:
+            self.broadcast()
+        self._change_members()
+
+    def append(self, kind: records.Kind, payloads: abc.Sequence[bytes]) -> None:
+        """Appends entries and sends them to all members."""
+        first = self._node.log.last_index + 1
+        term = self._node.term
+        self._node.put_entries(
+            [
+                records.Entry(first + i, term, kind, data)
+                for i, data in enumerate(payloads)
+            ]
+        )
+        if kind is records.Kind.VOTERS:
+            self._sync_progress()
+        self.broadcast()
+        self._advance_commit()
+
+    def read(self, contexts: abc.Sequence[int], at_once: bool) -> None:
+        """Queues reads for a heartbeat round that starts from now on."""
+        if not self.is_established:
+            self._early_reads.extend(contexts)
+            return
+        number, index = self._round + 1, self._node.commit
+        self._reads.extend((context, number, index) for context in contexts)
+        if at_once:
+            self.broadcast()
+
+    def broadcast(self) -> None:
+        """Starts a heartbeat round that carries new entries too."""
+        self._round += 1
+        period_ms = self._node.config.heartbeat_ms
+        self._heartbeat_due_ms = self._clock.now_ms() + period_ms
+        for incarnation in self._progress:
+            self._send(incarnation)
+        self._confirm_reads()
+
+    def on_reply(self, reply: records.AppendReply) -> None:
+        """Handles a member's answer of this term."""
+        progress = self._progress.get(reply.source)
+        if progress is None:
+            return
+        progress.heard_ms = self._clock.now_ms()
+        progress.round = max(progress.round, reply.round)
+        if reply.accepted:
+            if reply.index > progress.match_index:
+                progress.match_index = reply.index
+                progress.snapshot_sent_ms = None
+            floor = progress.match_index + 1
+            progress.next_index = max(progress.next_index, floor)
+            self._advance_commit()
+            if progress.next_index <= self._node.log.last_index:
+                self._send(reply.source)
+        elif progress.snapshot_sent_ms is None:
+            following = max(progress.match_index, reply.index) + 1
+            if following < progress.next_index:
+                progress.next_index = following
+                self._send(reply.source)
+        self._confirm_reads()
+        self._elect_target()
+        self._change_members()
+
+    def join(self, member: records.Member) -> None:
+        """Adds a learner; it replaces older learners of its name."""
+        if self._node.member(member.incarnation) is None:
+            self._joining[member.name] = member
+            self._change_members()
+
+    def transfer(self) -> None:
+        """Starts to hand leadership over within one election timeout."""
+        others = [
+            (progress.match_index, progress.heard_ms, incarnation)
+            for incarnation, progress in self._progress.items()
+            if self._node.is_voter(incarnation)
+        ]
+        if others:
+            self._transfer_target = max(others)[2]
+            timeout_ms = self._node.config.election_max_ms
+            self._transfer_due_ms = self._clock.now_ms() + timeout_ms
+            self._elect_target()
+
+    def _majority(self, holds: abc.Callable[[str], bool]) -> bool:
+        voters = [m.incarnation for m in self._node.members if m.voter]
+        return sum(map(holds, voters)) * 2 > len(voters)
+
+    def _sync_progress(self) -> None:
+        """Follows the member set; a new member starts as just heard."""
+        now_ms = self._clock.now_ms()
+        old = self._progress
+        self._progress = {
+            m.incarnation: old.get(m.incarnation)
+            or Progress(self._node.log.last_index + 1, now_ms)
+            for m in self._node.members
+            if m.incarnation != self._me
+        }
+
+    def _send(self, incarnation: str) -> None:
+        progress, node = self._progress[incarnation], self._node
+        now_ms = self._clock.now_ms()
+        if progress.next_index <= node.log.snapshot.index:
+            sent_ms = progress.snapshot_sent_ms
+            if sent_ms is None or now_ms - sent_ms > SNAPSHOT_RETRY_MS:
+                progress.snapshot_sent_ms = now_ms
+                node.send(
+                    records.InstallSnapshot(
+                        self._me,
+                        incarnation,
+                        node.term,
+                        node.log.snapshot,
+                        self._round,
+                    )
+                )
+                return
+            # The member refuses this heartbeat until it has the snapshot, but
+            # its answer shows that it hears the leader.
+            previous, entries = node.log.snapshot.index, ()
+        else:
+            previous = progress.next_index - 1
+            entries = node.log.between(
+                progress.next_index, node.log.last_index, MAX_MESSAGE_BYTES
+            )
+        node.send(
+            records.Append(
+                self._me,
+                incarnation,
+                node.term,
+                previous,
+                node.log.term(previous),
+                entries,
+                node.commit,
+                self._round,
+            )
+        )
+        if entries:
+            # A lost message shows when the next heartbeat is refused.
+            progress.next_index = entries[-1].index + 1
+
+    def _advance_commit(self) -> None:
+        """Commits what a majority has on disk, up to this term's entries.
+
+        An entry of an older term is committed only together with one of this
+        term; counting its copies alone is not safe.
+        """
+        voters = [m.incarnation for m in self._node.members if m.voter]
+        matches = sorted(
+            self._node.log.last_index
+            if i == self._me
+            else self._progress[i].match_index
+            for i in voters
+        )
+        index = matches[(len(matches) - 1) // 2]
+        if index <= self._node.commit or index < self._first_index:
+            return
+        was_established = self.is_established
+        self._node.commit_to(index)
+        if not was_established:
+            early, self._early_reads = self._early_reads, []
+            self.read(early, at_once=bool(early))
+
+    def _confirm_reads(self) -> None:
+        """Answers reads whose round a majority answered."""
+        if not self._reads:
+            return
+        voters = [m.incarnation for m in self._node.members if m.voter]
+        rounds = sorted(
+            self._round if i == self._me else self._progress[i].round
+            for i in voters
+        )
+        confirmed = rounds[(len(rounds) - 1) // 2]
+        count = sum(1 for read in self._reads if read[1] <= confirmed)
+        done, self._reads = self._reads[:count], self._reads[count:]
+        self._node.add_reads(records.Read(c, index) for c, _, index in done)
+
+    def _elect_target(self) -> None:
+        if self._transfer_due_ms is None:
+            return
+        progress = self._progress.get(self._transfer_target)
+        caught_up = self._node.log.last_index
+        if progress is not None and progress.match_index == caught_up:
+            self._node.send(
+                records.ElectNow(
+                    self._me, self._transfer_target, self._node.term
+                )
+            )
+
+    def _change_members(self) -> None:
+        """Makes the next single change of the member set, if one is due.
+
+        A change waits until the previous one and an entry of this term are
+        committed; otherwise two majorities may not share a member.
+        """
+        node = self._node
+        last = node.log.last_members_entry
+        pending = last is not None and last.index > node.commit
+        if pending or not self.is_established or self.transferring:
+            return
+        members = self._next_members()
+        if members is not None:
+            data = records.encode_members(members)
+            self.append(records.Kind.VOTERS, (data,))
+
+    def _next_members(self) -> records.Members | None:
+        members = self._node.members
+        for name, member in tuple(self._joining.items()):
+            del self._joining[name]
+            if self._node.member(member.incarnation) is None:
+                kept = [m for m in members if m.voter or m.name != name]
+                learner = dataclasses.replace(member, voter=False)
+                return (*kept, learner)
+        for learner in members:
+            if learner.voter:
+                continue
+            progress = self._progress[learner.incarnation]
+            if progress.match_index < self._node.commit:
+                continue
+            old = [m for m in members if m.voter and m.name == learner.name]
+            if not old:
+                promoted = dataclasses.replace(learner, voter=True)
+                rest = (m for m in members if m is not learner)
+                return (*rest, promoted)
+            if not self._is_silent(old[0].incarnation):
+                # Two processes use one name; the one that answers stays.
+                continue
+            return tuple(m for m in members if m is not old[0])
+        return None
+
+    def _is_silent(self, incarnation: str) -> bool:
+        if incarnation == self._me:
+            return False
+        silent_ms = self._clock.now_ms() - self._progress[incarnation].heard_ms
+        return silent_ms > self._node.config.election_max_ms
--- /dev/null
+++ b/auburnway/core/raft_records.py
@@ -0,0 +1,206 @@
+"""Records of the Raft rules: log entries, members, messages and outputs."""
+
+import dataclasses
+import enum
+
+import msgpack
+
+
+class Kind(enum.Enum):
+    """What a log entry holds."""
+
+    COMMAND = "command"
+    # Written by a new leader; carries nothing.
+    NOOP = "noop"
+    # The whole member set from this entry on.
+    VOTERS = "voters"
+
+
+class Role(enum.Enum):
+    """Role of a node."""
+
+    LEADER = "leader"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    # Not a voter in the latest member set that the node knows.
+    LEARNER = "learner"
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """One log entry; indexes start at 1."""
+
+    index: int
+    term: int
+    kind: Kind
+    data: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class HardState:
+    """What must be on disk before any message that depends on it is sent.
+
+    Attributes:
+      term: Latest term seen.
+      vote: Incarnation that got the vote in this term; empty for none.
+    """
+
+    term: int = 0
+    vote: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """One life of a control instance.
+
+    Attributes:
+      name: Name of the instance.
+      incarnation: Identifies one life of its disk; unique.
+      address: `ip:port` of its gRPC service.
+      voter: False for a learner.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    voter: bool = True
+
+
+Members = tuple[Member, ...]
+
+
+def encode_members(members: Members) -> bytes:
+    """Returns the msgpack form of a member set."""
+    return msgpack.packb([dataclasses.astuple(m) for m in members])
+
+
+def decode_members(data: bytes) -> Members:
+    """Returns the member set of its msgpack form."""
+    return tuple(Member(*fields) for fields in msgpack.unpackb(data))
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """Replicated state after the entry at `index`, with its member set."""
+
+    index: int = 0
+    term: int = 0
+    members: Members = ()
+    data: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class Message:
+    """Base of all messages; source and target are incarnations."""
+
+    source: str
+    target: str
+    term: int
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteRequest(Message):
+    """Asks for a vote, or with `pre_vote` whether one would be granted.
+
+    Attributes:
+      last_index: Index of the candidate's last entry.
+      last_term: Term of the candidate's last entry.
+      pre_vote: The term is the one that the candidate would start.
+      transfer: The old leader asked for this election, so a node that still
+        hears the old leader takes part.
+    """
+
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    transfer: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteReply(Message):
+    """Answer to a vote request; `term` echoes it when granted."""
+
+    granted: bool
+    pre_vote: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Append(Message):
+    """Entries after (`previous_index`, `previous_term`), or a heartbeat.
+
+    Attributes:
+      round: Heartbeat round, echoed in the reply; confirms reads.
+    """
+
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AppendReply(Message):
+    """Answer to `Append` and `InstallSnapshot`.
+
+    Attributes:
+      accepted: Whether the log matched at the previous index.
+      index: Last index known to match when accepted; otherwise the index
+        from which the leader should look back.
+    """
+
+    accepted: bool
+    index: int
+    round: int
+
+
+@dataclasses.dataclass(frozen=True)
+class InstallSnapshot(Message):
+    """Snapshot for a node whose next entry was compacted away."""
+
+    snapshot: Snapshot
+    round: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ElectNow(Message):
+    """Asks the target to start an election at once (leadership transfer)."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """A read that may be answered once `index` is applied."""
+
+    context: int
+    index: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Output:
+    """What a step asks of the caller, in this order.
+
+    First `snapshot`, `hard_state` and `appended` are written and synced; only
+    then are `messages` sent, `committed` entries applied and `reads` answered.
+
+    Attributes:
+      messages: Messages to send.
+      hard_state: New hard state, or None.
+      appended: Entries to add to the log. An entry replaces the stored one
+        with its index, and all after it.
+      truncated_from: First index that was replaced, or None.
+      snapshot: Received snapshot that replaces state and log, or None.
+      committed: Entries that may now be applied, in order.
+      reads: Reads that are confirmed.
+      failed_reads: Contexts of reads that this node cannot confirm any more.
+      role: Role after the step.
+    """
+
+    messages: tuple[Message, ...] = ()
+    hard_state: HardState | None = None
+    appended: tuple[Entry, ...] = ()
+    truncated_from: int | None = None
+    snapshot: Snapshot | None = None
+    committed: tuple[Entry, ...] = ()
+    reads: tuple[Read, ...] = ()
+    failed_reads: tuple[int, ...] = ()
+    role: Role = Role.FOLLOWER
--- /dev/null
+++ b/auburnway/storage/disk.py
@@ -0,0 +1,265 @@
+"""Files of one data folder, with explicit synchronization.
+
+A write counts as durable only after `sync` returned. Every fault is raised as
+`DiskFault`: after a failed sync the kernel may have dropped the dirty pages,
+so a retry can report success for lost bytes. The process must stop instead.
+"""
+
+from collections import abc
+import contextlib
+import errno
+import os
+import pathlib
+import typing
+
+from auburnway.core import errors
+
+
+class DiskError(errors.Error):
+    """A file could not be read, written or synchronized."""
+
+    code = "disk_failed"
+    remedy = (
+        "Check the disk; then start the process again. When the data folder"
+        " is lost, start it with an empty folder so that it joins anew."
+    )
+    exit_code = 5
+
+
+class DiskFull(DiskError):
+    """No space is left for a write."""
+
+    code = "disk_full"
+    remedy = "Free space on the disk of the data folder, then start again."
+    exit_code = 6
+
+
+class CorruptFile(DiskError):
+    """A file holds bytes that were not written by this program."""
+
+    code = "corrupt_file"
+    remedy = (
+        "Do not edit the file. Move the data folder away and start with an"
+        " empty one, so that the instance joins anew."
+    )
+    exit_code = 7
+
+
+class DiskFault(Exception):
+    """Carries a `DiskError`; ends the process, so it is not a value."""
+
+    def __init__(self, error: DiskError):
+        super().__init__(error.message)
+        self.error = error
+
+
+class Disk(typing.Protocol):
+    """Flat folder of files."""
+
+    def read(self, name: str) -> bytes | None:
+        """Returns the content of a file, or None when it is absent."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Adds bytes to the end of a file; not durable before `sync`."""
+
+    def sync(self, name: str) -> None:
+        """Makes all appended bytes, and the file's name, durable."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file to `size` bytes, durably."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces or creates a whole file, atomically and durably."""
+
+    def remove(self, name: str) -> None:
+        """Removes a file, durably; an absent file is no error."""
+
+    def list(self) -> tuple[str, ...]:
+        """Returns the names of all files, sorted."""
+
+
+class FolderDisk:
+    """Real files in one folder.
+
+    Args:
+      folder: Existing folder, owned by this process alone.
+    """
+
+    def __init__(self, folder: str | pathlib.Path):
+        self._folder = pathlib.Path(folder)
+        self._open: dict[str, int] = {}
+
+    def read(self, name: str) -> bytes | None:
+        """Returns the content of a file, or None when it is absent."""
+        with self._faults(name):
+            try:
+                return (self._folder / name).read_bytes()
+            except FileNotFoundError:
+                return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Adds bytes to the end of a file; not durable before `sync`."""
+        with self._faults(name):
+            if name not in self._open:
+                flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+                self._open[name] = os.open(self._folder / name, flags, 0o600)
+                self._sync_folder()
+            _write_all(self._open[name], data)
+
+    def sync(self, name: str) -> None:
+        """Makes all appended bytes, and the file's name, durable."""
+        with self._faults(name):
+            os.fsync(self._open[name])
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file to `size` bytes, durably."""
+        self._close(name)
+        with self._faults(name):
+            descriptor = os.open(self._folder / name, os.O_WRONLY)
+            with _closing(descriptor):
+                os.ftruncate(descriptor, size)
+                os.fsync(descriptor)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces or creates a whole file, atomically and durably."""
+        self._close(name)
+        temporary = self._folder / (name + ".new")
+        with self._faults(name):
+            flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+            descriptor = os.open(temporary, flags, 0o600)
+            with _closing(descriptor):
+                _write_all(descriptor, data)
+                os.fsync(descriptor)
+            os.replace(temporary, self._folder / name)
+            self._sync_folder()
+
+    def remove(self, name: str) -> None:
+        """Removes a file, durably; an absent file is no error."""
+        self._close(name)
+        with self._faults(name):
+            (self._folder / name).unlink(missing_ok=True)
+            self._sync_folder()
+
+    def list(self) -> tuple[str, ...]:
+        """Returns the names of all files, sorted."""
+        with self._faults(""):
+            return tuple(sorted(p.name for p in self._folder.iterdir()))
+
+    def close(self) -> None:
+        """Closes all open files."""
+        for name in tuple(self._open):
+            self._close(name)
+
+    def _close(self, name):
+        descriptor = self._open.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self):
+        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        with _closing(descriptor):
+            os.fsync(descriptor)
+
+    @contextlib.contextmanager
+    def _faults(self, name) -> abc.Iterator[None]:
+        try:
+            yield
+        except OSError as error:
+            full = error.errno in (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
+            kind = DiskFull if full else DiskError
+            place = str(self._folder / name)
+            raise DiskFault(kind(error.strerror or "", place)) from error
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+@contextlib.contextmanager
+def _closing(descriptor: int) -> abc.Iterator[None]:
+    try:
+        yield
+    finally:
+        os.close(descriptor)
+
+
+class FakeDisk:
+    """Files in memory whose faults a test chooses.
+
+    Attributes:
+      fail_next_sync: The next sync raises, as after a device error.
+      capacity_bytes: Writes that exceed it raise `DiskFull`.
+    """
+
+    def __init__(self):
+        self._synced: dict[str, bytes] = {}
+        self._pending: dict[str, bytes] = {}
+        self.fail_next_sync = False
+        self.capacity_bytes = 1 << 40
+
+    def read(self, name: str) -> bytes | None:
+        """Returns the content of a file, or None when it is absent."""
+        if name not in self._synced and name not in self._pending:
+            return None
+        return self._synced.get(name, b"") + self._pending.get(name, b"")
+
+    def append(self, name: str, data: bytes) -> None:
+        """Adds bytes that a crash drops until `sync`."""
+        room = self.capacity_bytes - self._used_bytes()
+        self._pending[name] = self._pending.get(name, b"") + data[:room]
+        if len(data) > room:
+            raise DiskFault(DiskFull("no space left", name))
+
+    def sync(self, name: str) -> None:
+        """Makes the appended bytes survive a crash."""
+        if self.fail_next_sync:
+            self.fail_next_sync = False
+            # As on Linux, a failed sync drops what was not written.
+            self._pending.pop(name, None)
+            raise DiskFault(DiskError("sync failed", name))
+        if name in self._pending:
+            pending = self._pending.pop(name)
+            self._synced[name] = self._synced.get(name, b"") + pending
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file, durably."""
+        self._synced[name] = (self.read(name) or b"")[:size]
+        self._pending.pop(name, None)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces or creates a whole file, atomically and durably."""
+        if self._used_bytes() + len(data) > self.capacity_bytes:
+            raise DiskFault(DiskFull("no space left", name))
+        if self.fail_next_sync:
+            self.fail_next_sync = False
+            raise DiskFault(DiskError("sync failed", name))
+        self._synced[name] = data
+        self._pending.pop(name, None)
+
+    def remove(self, name: str) -> None:
+        """Removes a file, durably."""
+        self._synced.pop(name, None)
+        self._pending.pop(name, None)
+
+    def list(self) -> tuple[str, ...]:
+        """Returns the names of all files, sorted."""
+        return tuple(sorted(self._synced.keys() | self._pending.keys()))
+
+    def crash(self, torn_bytes: int = 0) -> None:
+        """Drops unsynced bytes, except a prefix of `torn_bytes` per file."""
+        for name, pending in self._pending.items():
+            if pending[:torn_bytes]:
+                kept = self._synced.get(name, b"") + pending[:torn_bytes]
+                self._synced[name] = kept
+        self._pending.clear()
+
+    def lose(self) -> None:
+        """Loses every file."""
+        self._synced.clear()
+        self._pending.clear()
+
+    def _used_bytes(self):
+        files = (*self._synced.values(), *self._pending.values())
+        return sum(len(content) for content in files)
--- /dev/null
+++ b/auburnway/storage/frames.py
@@ -0,0 +1,54 @@
+"""Checksummed frames: the unit in which files are written and verified."""
+
+import struct
+import zlib
+
+import msgpack
+
+MAGIC = b"AWF1"
+# Magic, checksum of all that follows it, sequence number, payload length.
+_HEADER = struct.Struct(">4sIQI")
+_CHECKED_OFFSET = 8
+
+
+def encode(sequence: int, payload) -> bytes:
+    """Returns one frame.
+
+    Args:
+      sequence: Position of the frame in its file, from 0.
+      payload: Value that msgpack can encode.
+    """
+    body = msgpack.packb(payload)
+    header = _HEADER.pack(MAGIC, 0, sequence, len(body))
+    checksum = zlib.crc32(header[_CHECKED_OFFSET:] + body)
+    return _HEADER.pack(MAGIC, checksum, sequence, len(body)) + body
+
+
+def decode(data: bytes, offset: int):
+    """Decodes the frame at an offset.
+
+    Returns:
+      (sequence, payload, end offset), or None when no whole frame with a
+      matching checksum stands there.
+    """
+    if len(data) < offset + _HEADER.size:
+        return None
+    magic, checksum, sequence, size = _HEADER.unpack_from(data, offset)
+    end = offset + _HEADER.size + size
+    if magic != MAGIC or end > len(data):
+        return None
+    if zlib.crc32(data[offset + _CHECKED_OFFSET : end]) != checksum:
+        return None
+    payload = msgpack.unpackb(data[offset + _HEADER.size : end])
+    return sequence, payload, end
+
+
+def has_frame_after(data: bytes, offset: int, sequence: int) -> bool:
+    """Whether a valid frame of a later sequence number starts past offset."""
+    at = data.find(MAGIC, offset + 1)
+    while at >= 0:
+        found = decode(data, at)
+        if found is not None and found[0] > sequence:
+            return True
+        at = data.find(MAGIC, at + 1)
+    return False
--- /dev/null
+++ b/auburnway/storage/snapshots.py
@@ -0,0 +1,38 @@
+"""Snapshot file of the replicated state: one checksummed frame."""
+
+from auburnway.core import raft_records as records
+from auburnway.storage import disk as disk_lib
+from auburnway.storage import frames
+
+FILE = "snapshot"
+
+
+def save(disk: disk_lib.Disk, snapshot: records.Snapshot) -> None:
+    """Replaces the snapshot, atomically and durably.
+
+    Raises:
+      DiskFault: The write failed; the old snapshot is still in place.
+    """
+    payload = [
+        snapshot.index,
+        snapshot.term,
+        records.encode_members(snapshot.members),
+        snapshot.data,
+    ]
+    disk.replace(FILE, frames.encode(0, payload))
+
+
+def load(disk: disk_lib.Disk) -> records.Snapshot:
+    """Returns the snapshot; the empty one when there is none.
+
+    Raises:
+      DiskFault: The file does not verify.
+    """
+    data = disk.read(FILE)
+    if data is None:
+        return records.Snapshot()
+    found = frames.decode(data, 0)
+    if found is None or found[2] != len(data):
+        raise disk_lib.DiskFault(disk_lib.CorruptFile("bad checksum", FILE))
+    index, term, members, state = found[1]
+    return records.Snapshot(index, term, records.decode_members(members), state)
