Add the control process and its client

Cause: release notes, claims and trials need a replicated home that survives the loss of one instance. Ruled out: answering before the sync; waiting for a whole poll to learn that an entry holds a lease.

--- /dev/null
+++ b/auburnway/control/main.py
@@ -0,0 +1,265 @@
+"""The control process and the preparation of its data folder."""
+
+import argparse
+from collections import abc
+import dataclasses
+import fcntl
+import pathlib
+import sys
+
+import loguru
+from returns import pipeline
+
+from auburnway.control import entries as entries_lib
+from auburnway.control import node as node_lib
+from auburnway.control import operations as operations_lib
+from auburnway.control import service
+from auburnway.control import store as store_lib
+from auburnway.core import clock as clock_lib
+from auburnway.core import errors
+from auburnway.core import raft_records as records
+from auburnway.kernel import logs
+from auburnway.kernel import process
+from auburnway.kernel import registry
+from auburnway.kernel import settings as settings_lib
+from auburnway.rpc import channels
+from auburnway.rpc import control_client
+from auburnway.rpc import control_pb2 as pb
+from auburnway.rpc import control_pb2_grpc as pb_grpc
+from auburnway.storage import disk as disk_lib
+
+LOCK_FILE = "lock"
+JOIN_DEADLINE_S = 1.0
+STATUS_DEADLINE_MS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """Another control instance of the first voter set."""
+
+    name: str = settings_lib.setting("Name of the control instance.")
+    address: str = settings_lib.setting("Its gRPC address, ip:port.")
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Settings of a control process."""
+
+    name: str = settings_lib.setting("Unique name of this control instance.")
+    data_center: str = settings_lib.setting("Data centre of this instance.")
+    data_folder: str = settings_lib.setting("Folder on the disk.")
+    address: str = settings_lib.setting("gRPC address, ip:port.")
+    peers: tuple[Peer, ...] = settings_lib.setting(
+        "All other control instances.", ()
+    )
+    token: str = settings_lib.setting("Fleet token; or use token_file.", "")
+    token_file: str = settings_lib.setting("File with the fleet token.", "")
+    claim_retention_ms: int = settings_lib.setting(
+        "How long claims are kept, in milliseconds.",
+        30 * 24 * 3600 * 1000,
+        low=60_000,
+    )
+    entry_removal_ms: float = settings_lib.setting(
+        "An entry without a lease for this long is removed, in milliseconds.",
+        600_000.0,
+        low=5_000,
+    )
+
+
+class InitRefused(errors.Error):
+    """The data folder may not be prepared."""
+
+    code = "init_refused"
+    remedy = (
+        "Use `run` with an empty data folder, so that the instance joins under"
+        " a new incarnation."
+    )
+    exit_code = 3
+
+
+class FolderInUse(errors.Error):
+    """Another process uses the data folder."""
+
+    code = "folder_in_use"
+    remedy = "Stop the other process, or use another data_folder."
+    exit_code = 3
+
+
+class AddressInUse(errors.Error):
+    """The gRPC server cannot listen."""
+
+    code = "address_in_use"
+    remedy = "Choose a free address in the settings."
+    exit_code = 3
+
+
+def main(arguments: abc.Sequence[str] | None = None) -> int:
+    """Runs the command; returns the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="auburnway-control", description="Control process of auburnway."
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name, help_text in (
+        ("init", "write identity and first voter set into the data folder"),
+        ("run", "run the control process"),
+    ):
+        command = commands.add_parser(name, help=help_text)
+        command.add_argument("--settings", required=True, help="TOML file")
+        command.add_argument("--log-level", default="INFO", choices=logs.LEVELS)
+    options = parser.parse_args(arguments)
+    settings = process.load_settings(Settings, options.settings)
+    logs.set_up(settings.name, options.log_level)
+    try:
+        token = _token(settings)
+        folder = pathlib.Path(settings.data_folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        with (folder / LOCK_FILE).open("w") as lock:
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                return _failed(FolderInUse(source=str(folder)))
+            if options.command == "init":
+                return _init(settings, token, folder)
+            return _run(settings, token, folder)
+    except disk_lib.DiskFault as fault:
+        return _failed(fault.error)
+    except OSError as error:
+        return _failed(disk_lib.DiskError(str(error)))
+
+
+def _failed(error: errors.Error) -> int:
+    print(error.message, file=sys.stderr)
+    return error.exit_code
+
+
+def _token(settings: Settings) -> str:
+    token = settings.token
+    if settings.token_file:
+        token = pathlib.Path(settings.token_file).read_text("utf-8").strip()
+    if not token:
+        error = settings_lib.SettingsError("neither token nor token_file", "")
+        raise SystemExit(_failed(error))
+    return token
+
+
+def _init(settings: Settings, token: str, folder: pathlib.Path) -> int:
+    """Writes identity and first voter set."""
+    disk = disk_lib.FolderDisk(folder)
+    if store_lib.read_identity(disk) is not None:
+        return _failed(InitRefused("it has an identity", str(folder)))
+    # A disk that was lost after the group had started must not come back
+    # under its first incarnation, whose votes and entries it has forgotten.
+    for peer in settings.peers:
+        with control_client.ControlClient(
+            (peer.address,), token, clock_lib.SystemClock()
+        ) as client:
+            status = client.call(
+                "Status", pb.StatusRequest(), STATUS_DEADLINE_MS
+            )
+        if pipeline.is_successful(status) and status.unwrap().commit_index:
+            detail = f"{peer.name} runs in a group that has started"
+            return _failed(InitRefused(detail, str(folder)))
+    addresses = {peer.name: peer.address for peer in settings.peers}
+    addresses[settings.name] = settings.address
+    members = tuple(
+        records.Member(name, store_lib.first_incarnation(name), address)
+        for name, address in sorted(addresses.items())
+    )
+    incarnation = store_lib.first_incarnation(settings.name)
+    identity = store_lib.Identity(settings.name, incarnation)
+    store_lib.create(disk, identity, members)
+    loguru.logger.bind(incarnation=incarnation).info("data folder is ready")
+    return 0
+
+
+def _run(settings: Settings, token: str, folder: pathlib.Path) -> int:
+    """Runs until a signal or a fault; returns the exit code."""
+    disk = disk_lib.FolderDisk(folder)
+    identity = store_lib.read_identity(disk)
+    if identity is None:
+        incarnation = store_lib.new_incarnation(settings.name)
+        identity = store_lib.Identity(settings.name, incarnation)
+        store_lib.create(disk, identity, ())
+        loguru.logger.bind(incarnation=incarnation).info(
+            "the data folder was empty; joining as a learner"
+        )
+    if identity.name != settings.name:
+        detail = f"the folder belongs to {identity.name!r}"
+        return _failed(FolderInUse(detail, str(folder)))
+    store = store_lib.Store(disk)
+    if store.cut_bytes:
+        loguru.logger.bind(size_bytes=store.cut_bytes).warning(
+            "cut an incomplete record off the log"
+        )
+    clock = clock_lib.SystemClock()
+    loop = process.Loop(clock)
+    loop.stack.callback(disk.close)
+    joiner = _Joiner(settings, identity, token)
+    loop.stack.callback(joiner.close)
+    node = node_lib.Node(
+        identity, settings.address, store, loop, token, joiner.ask
+    )
+    node.register(loop.root)
+    entries = entries_lib.Entries(
+        node, clock, loop.timers, settings.entry_removal_ms
+    )
+    operations = operations_lib.Operations(
+        node,
+        entries,
+        clock,
+        loop.timers,
+        settings.claim_retention_ms,
+        _policy_values(),
+    )
+    try:
+        server, calls = service.serve(settings.address, token, node, operations)
+    except RuntimeError as error:
+        loop.stack.close()
+        return _failed(AddressInUse(str(error), settings.address))
+    loop.stack.callback(lambda: server.stop(None).wait())
+    loop.stack.callback(calls.close)
+    loop.on_stop = node.leave
+    loguru.logger.bind(
+        address=settings.address, incarnation=identity.incarnation
+    ).info("control instance runs")
+    loop.run()
+    return node.exit_code
+
+
+def _policy_values() -> dict[str, tuple[str, ...]] | None:
+    registry.load("auburnway.policy")
+    kinds = registry.kinds()
+    return {kind: registry.names(kind) for kind in kinds} or None
+
+
+class _Joiner:
+    """Asks the other instances in turn to let this one join."""
+
+    def __init__(self, settings, identity, token):
+        self._request = pb.JoinRequest(
+            name=identity.name,
+            incarnation=identity.incarnation,
+            address=settings.address,
+        )
+        self._metadata = channels.metadata(token)
+        self._channels = [channels.connect(p.address) for p in settings.peers]
+        self._next = 0
+
+    def ask(self) -> None:
+        """Sends one request without waiting; only the leader acts on it."""
+        if not self._channels:
+            return
+        channel = self._channels[self._next % len(self._channels)]
+        self._next += 1
+        pb_grpc.ConsensusStub(channel).Join.future(
+            self._request, timeout=JOIN_DEADLINE_S, metadata=self._metadata
+        )
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for channel in self._channels:
+            channel.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/auburnway/control/operations.py
@@ -0,0 +1,362 @@
+"""What control does for each call; runs on the consensus loop."""
+
+from collections import abc
+import typing
+
+from returns import pipeline
+from returns import result
+
+from auburnway.control import entries as entries_lib
+from auburnway.control import node as node_lib
+from auburnway.control import wire
+from auburnway.core import audit as audit_lib
+from auburnway.core import clock as clock_lib
+from auburnway.core import commands
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+from auburnway.core import note as note_lib
+from auburnway.core import raft_records as records
+from auburnway.core import replicated_state as state_lib
+from auburnway.kernel import timers as timers_lib
+from auburnway.rpc import control_pb2 as pb
+
+# Moves the retention floor when nothing else stamps the log.
+TICK_PERIOD_MS = 60_000.0
+MAX_AUDIT_ROWS = 1000
+
+Done = abc.Callable[[typing.Any], None]
+
+
+class Operations:
+    """One method per call: it takes a request and calls `done` with a reply.
+
+    Args:
+      node: Consensus task.
+      entries: Entry registry.
+      clock: Source of time.
+      timers: Timer queue of the loop.
+      retention_ms: Retention of claims.
+      policy_values: Plug-in names by decision; None to accept any.
+    """
+
+    def __init__(
+        self,
+        node: node_lib.Node,
+        entries: entries_lib.Entries,
+        clock: clock_lib.Clock,
+        timers: timers_lib.TimerQueue,
+        retention_ms: int,
+        policy_values: dict[str, tuple[str, ...]] | None,
+    ):
+        self._node = node
+        self._entries = entries
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._policy_values = policy_values
+        node.on_role = self._on_role
+        node.on_applied = entries.on_applied
+        timers.every(TICK_PERIOD_MS, self._stamp)
+
+    def renew(self, request: pb.RenewRequest, done: Done) -> None:
+        """Renews the lease of an entry."""
+        self._entries.renew(request, done)
+
+    def read(self, request: pb.ReadRequest, done: Done) -> None:
+        """Returns the configuration, linearizable."""
+
+        def reply():
+            state = self._node.state
+            return pb.ReadReply(
+                number=state.configuration.number,
+                configuration=configuration_lib.encode(state.configuration),
+                revision=state.revision,
+                entry_names=sorted(state.entries),
+            )
+
+        self._linearizable(reply, pb.ReadReply, done)
+
+    def in_force(self, request: pb.ReadRequest, done: Done) -> None:
+        """Returns on which entries the configuration is in force."""
+        self._linearizable(self._entries.in_force, pb.InForceReply, done)
+
+    def audit(self, request: pb.AuditRequest, done: Done) -> None:
+        """Returns rows of the audit trail."""
+
+        def reply():
+            trail, after = self._node.state.audit, request.after_revision
+            limit = min(request.limit or MAX_AUDIT_ROWS, MAX_AUDIT_ROWS)
+            rows = trail[after : after + limit]
+            previous = trail[after - 1].hash if rows and after else ""
+            bad = audit_lib.verify(rows, previous, after + 1)
+            return pb.AuditReply(
+                rows=[
+                    pb.AuditRow(
+                        revision=row.revision,
+                        wall_ms=row.wall_ms,
+                        author=row.author,
+                        action=row.action,
+                        number=row.number,
+                        digest=row.digest,
+                        result=row.result,
+                        detail=row.detail,
+                        hash=row.hash,
+                    )
+                    for row in rows
+                ],
+                chain_valid=bad is None,
+            )
+
+        self._linearizable(reply, pb.AuditReply, done)
+
+    def plan(self, request: pb.NoteRequest, done: Done) -> None:
+        """Checks a release note and returns its effect."""
+
+        def on_read(outcome: result.Result):
+            if not pipeline.is_successful(outcome):
+                done(pb.PlanReply(errors=_errors((outcome.failure(),))))
+                return
+            state = self._node.state
+            number = state.configuration.number
+            note, found = self._check(request.text)
+            if found or note.number <= number:
+                done(
+                    pb.PlanReply(errors=_errors(found), number_in_force=number)
+                )
+                return
+            after = note_lib.apply(state.configuration, note)
+            changes = note_lib.diff(state.configuration, after)
+            done(
+                pb.PlanReply(
+                    changes=[
+                        pb.Change(
+                            action=change.action,
+                            item=change.item,
+                            name=change.name,
+                            before=change.before,
+                            after=change.after,
+                        )
+                        for change in changes
+                    ],
+                    number_in_force=number,
+                )
+            )
+
+        self._node.read(on_read)
+
+    def apply(self, request: pb.NoteRequest, done: Done) -> None:
+        """Accepts a release note, or refuses it with all errors."""
+
+        def on_read(outcome: result.Result):
+            if not pipeline.is_successful(outcome):
+                done(pb.ApplyReply(errors=_errors((outcome.failure(),))))
+                return
+            note, found = self._check(request.text)
+            receipts = self._node.state.receipts
+            is_resend = note is not None and note.number in receipts
+            if not found and not is_resend and not self._entries.has_majority():
+                found = (self._entries.no_majority(),)
+            if found:
+                self._refuse(request, note, found, done)
+                return
+            command = state_lib.AcceptNote(
+                request.text, request.author, self._clock.wall_ms()
+            )
+            self._node.propose(command, lambda reply: done(_note_reply(reply)))
+
+        self._node.read(on_read)
+
+    def claim(self, request: pb.ClaimRequest, done: Done) -> None:
+        """Claims the right to run a request."""
+        command = state_lib.Claim(
+            request.caller,
+            request.key,
+            request.digest,
+            request.entry_name,
+            request.entry_incarnation,
+            self._clock.wall_ms(),
+        )
+        self._propose(command, pb.ClaimReply, done)
+
+    def settle(self, request: pb.SettleRequest, done: Done) -> None:
+        """Records the outcome of a claim."""
+        command = state_lib.Settle(
+            request.claim_id,
+            request.attempt,
+            request.entry_incarnation,
+            request.outcome,
+            request.result,
+            self._clock.wall_ms(),
+        )
+        self._propose(command, pb.SettleReply, done)
+
+    def strike(self, request: pb.StrikeRequest, done: Done) -> None:
+        """Records a backend server lost while it ran a request."""
+        command = state_lib.Strike(
+            request.fingerprint,
+            request.backend_server,
+            request.backend_incarnation,
+            request.entry_name,
+            self._clock.wall_ms(),
+        )
+        self._propose(command, pb.TrialReply, done)
+
+    def grant_trial(self, request: pb.TrialRequest, done: Done) -> None:
+        """Grants the right to run a struck request once."""
+        command = state_lib.GrantTrial(
+            request.fingerprint,
+            request.entry_name,
+            request.entry_incarnation,
+            self._clock.wall_ms(),
+        )
+        self._propose(command, pb.TrialReply, done)
+
+    def end_trial(self, request: pb.EndTrialRequest, done: Done) -> None:
+        """Records the outcome of a trial."""
+        command = state_lib.EndTrial(
+            request.fingerprint,
+            request.entry_incarnation,
+            request.outcome,
+            request.backend_server,
+            request.backend_incarnation,
+            self._clock.wall_ms(),
+        )
+        self._propose(command, pb.TrialReply, done)
+
+    def status(self, request: pb.StatusRequest, done: Done) -> None:
+        """Returns the state of this instance; not linearizable."""
+        node, raft, now_ms = self._node, self._node.raft, self._clock.now_ms()
+        voters = []
+        for member in raft.members:
+            progress = None
+            if raft.leading is not None:
+                progress = raft.leading.progress(member.incarnation)
+            is_self = member.incarnation == node.identity.incarnation
+            match_index = raft.log.last_index if is_self else 0
+            heard_ms = 0 if is_self else -1
+            if progress is not None:
+                match_index = progress.match_index
+                heard_ms = int(now_ms - progress.heard_ms)
+            voters.append(
+                pb.VoterState(
+                    name=member.name,
+                    incarnation=member.incarnation,
+                    address=member.address,
+                    role="voter" if member.voter else "learner",
+                    match_index=match_index,
+                    last_heard_ms=heard_ms,
+                )
+            )
+        done(
+            pb.StatusReply(
+                name=node.identity.name,
+                incarnation=node.identity.incarnation,
+                role=raft.role.value,
+                term=raft.term,
+                commit_index=raft.commit,
+                applied_index=node.applied_index,
+                leader_address=node.leader_address,
+                has_quorum=raft.hears_leader(),
+                voters=voters,
+                number=node.state.configuration.number,
+                log_bytes=node.log_bytes,
+                open_claims=node.state.claims.open_count,
+                claims=len(node.state.claims),
+            )
+        )
+
+    def join(self, request: pb.JoinRequest, done: Done) -> None:
+        """Lets an instance with an empty disk join as a learner."""
+        if not self._node.is_leader:
+            error = wire.encode_error(self._node.not_leader())
+            done(pb.JoinReply(error=error))
+            return
+        self._node.let_join(
+            records.Member(
+                request.name, request.incarnation, request.address, voter=False
+            )
+        )
+        done(pb.JoinReply())
+
+    def _on_role(self) -> None:
+        self._entries.on_role()
+        if self._node.is_leader:
+            self._stamp()
+
+    def _stamp(self) -> None:
+        if self._node.is_leader:
+            command = state_lib.Tick(self._clock.wall_ms(), self._retention_ms)
+            self._node.propose(command, lambda reply: None)
+
+    def _check(
+        self, text: str
+    ) -> tuple[note_lib.Note | None, tuple[errors.Error, ...]]:
+        parsed = note_lib.parse(text, "release note")
+        if not pipeline.is_successful(parsed):
+            return None, parsed.failure()
+        note = parsed.unwrap()
+        state = self._node.state
+        return note, state_lib.check_note(state, note, self._policy_values)
+
+    def _refuse(self, request, note, found, done) -> None:
+        """Answers with all errors once the attempt is in the audit trail."""
+        command = state_lib.RefuseNote(
+            request.author,
+            note.number if note is not None else 0,
+            note_lib.digest(note) if note is not None else "",
+            "; ".join(f"{error.code} ({error.source})" for error in found),
+            self._clock.wall_ms(),
+        )
+
+        def on_reply(reply: result.Result):
+            if not pipeline.is_successful(reply):
+                done(_note_reply(reply))
+                return
+            row = reply.unwrap()
+            done(
+                pb.ApplyReply(
+                    errors=_errors(found),
+                    number=row.number,
+                    digest=row.digest,
+                    revision=row.revision,
+                )
+            )
+
+        self._node.propose(command, on_reply)
+
+    def _linearizable(self, reply, reply_type, done) -> None:
+        def on_read(outcome: result.Result):
+            if pipeline.is_successful(outcome):
+                done(reply())
+            else:
+                error = wire.encode_error(outcome.failure())
+                done(reply_type(error=error))
+
+        self._node.read(on_read)
+
+    def _propose(self, command, reply_type, done) -> None:
+        def on_reply(reply: result.Result):
+            if pipeline.is_successful(reply):
+                done(_reply(reply.unwrap(), reply_type))
+            else:
+                error = wire.encode_error(reply.failure())
+                done(reply_type(error=error))
+
+        self._node.propose(command, on_reply)
+
+
+def _reply(reply: commands.Reply, reply_type):
+    fields = dict(vars(reply))
+    fields["error"] = wire.encode_error(fields["error"])
+    return reply_type(**fields)
+
+
+def _note_reply(reply: result.Result) -> pb.ApplyReply:
+    if not pipeline.is_successful(reply):
+        return pb.ApplyReply(errors=_errors((reply.failure(),)))
+    fields = dict(vars(reply.unwrap()))
+    fields["errors"] = _errors(fields["errors"])
+    return pb.ApplyReply(**fields)
+
+
+def _errors(found: abc.Iterable[errors.Error]) -> list[pb.Error]:
+    return [wire.encode_error(error) for error in found]
--- /dev/null
+++ b/auburnway/control/peer_link.py
@@ -0,0 +1,110 @@
+"""Connection from this control instance to another one.
+
+At most one `Deliver` call is in flight. Messages that arrive meanwhile wait
+and leave together in the next call, so the cost per message falls as the load
+rises. Raft repeats what is lost, so a failed call is not retried.
+"""
+
+import collections
+from collections import abc
+
+import grpc
+import loguru
+
+from auburnway.control import wire
+from auburnway.core import raft_records as records
+from auburnway.rpc import channels
+from auburnway.rpc import control_pb2 as pb
+from auburnway.rpc import control_pb2_grpc as pb_grpc
+
+# Longer than a round trip with a synced append, shorter than an election.
+DEADLINE_S = 0.4
+# A snapshot of tens of megabytes takes longer.
+SNAPSHOT_DEADLINE_S = 5.0
+# Heartbeats repeat every 100 ms; older messages are of no use.
+MAX_WAITING = 64
+
+
+class PeerLink:
+    """Sends Raft messages to one address.
+
+    Args:
+      address: `ip:port` of the peer.
+      own_address: Address on which this instance is reached.
+      token: Fleet token.
+      post: Runs a function on the consensus loop; thread-safe.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        own_address: str,
+        token: str,
+        post: abc.Callable[[abc.Callable[[], None]], None],
+    ):
+        self.address = address
+        self._own_address = own_address
+        self._metadata = channels.metadata(token)
+        self._post = post
+        self._waiting = collections.deque(maxlen=MAX_WAITING)
+        self._is_calling = False
+        self._is_closed = False
+        self._is_reachable = True
+        self._connect()
+
+    def send(self, message: records.Message) -> None:
+        """Queues a message; the oldest is dropped when too many wait."""
+        self._waiting.append(message)
+        self._call()
+
+    def close(self) -> None:
+        """Closes the connection; no further call is made."""
+        self._is_closed = True
+        self._channel.close()
+
+    def _connect(self):
+        self._channel = channels.connect(self.address)
+        self._stub = pb_grpc.ConsensusStub(self._channel)
+
+    def _call(self):
+        if self._is_calling or self._is_closed or not self._waiting:
+            return
+        # One envelope goes to one incarnation of the peer.
+        first = self._waiting[0]
+        batch = []
+        while self._waiting and self._waiting[0].target == first.target:
+            batch.append(self._waiting.popleft())
+        envelope = pb.Envelope(
+            from_incarnation=first.source,
+            to_incarnation=first.target,
+            from_address=self._own_address,
+            messages=[wire.encode(message) for message in batch],
+        )
+        has_snapshot = any(
+            isinstance(message, records.InstallSnapshot) for message in batch
+        )
+        self._is_calling = True
+        call = self._stub.Deliver.future(
+            envelope,
+            timeout=SNAPSHOT_DEADLINE_S if has_snapshot else DEADLINE_S,
+            metadata=self._metadata,
+        )
+        call.add_done_callback(
+            lambda done: self._post(lambda: self._on_done(done.code()))
+        )
+
+    def _on_done(self, code: grpc.StatusCode):
+        self._is_calling = False
+        is_reachable = code is grpc.StatusCode.OK
+        if is_reachable != self._is_reachable:
+            self._is_reachable = is_reachable
+            loguru.logger.bind(peer=self.address, status=code.name).info(
+                "control peer answers again"
+                if is_reachable
+                else "control peer does not answer"
+            )
+        if code is grpc.StatusCode.DEADLINE_EXCEEDED and not self._is_closed:
+            # The connection may be silent for good.
+            self._channel.close()
+            self._connect()
+        self._call()
--- /dev/null
+++ b/auburnway/control/store.py
@@ -0,0 +1,135 @@
+"""Data folder of a control instance: identity, log and snapshot.
+
+The identity is the last file that is written, so a folder without one has
+never acknowledged anything. A process that finds such a folder makes a new
+incarnation, which is in no member set and therefore never counts as a voter
+until the leader has caught it up.
+"""
+
+import dataclasses
+import secrets
+
+from auburnway.core import raft_log
+from auburnway.core import raft_records as records
+from auburnway.storage import disk as disk_lib
+from auburnway.storage import frames
+from auburnway.storage import snapshots
+from auburnway.storage import wal as wal_lib
+
+IDENTITY_FILE = "identity"
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """Who the owner of a data folder is."""
+
+    name: str
+    incarnation: str
+
+
+def first_incarnation(name: str) -> str:
+    """Returns the incarnation that `init` writes.
+
+    It follows from the name, so that every instance can write the whole first
+    member set without asking the others.
+    """
+    return f"{name}.first"
+
+
+def new_incarnation(name: str) -> str:
+    """Returns an incarnation that no other life of this name has."""
+    return f"{name}.{secrets.token_hex(8)}"
+
+
+def read_identity(disk: disk_lib.Disk) -> Identity | None:
+    """Returns the identity; None when the folder never had one.
+
+    Raises:
+      DiskFault: The identity is damaged, or is absent beside a used log.
+    """
+    data = disk.read(IDENTITY_FILE)
+    if data is not None:
+        found = frames.decode(data, 0)
+        if found is None:
+            raise disk_lib.DiskFault(
+                disk_lib.CorruptFile("bad checksum", IDENTITY_FILE)
+            )
+        return Identity(*found[1])
+    if disk.read(wal_lib.FILE) is not None:
+        content = wal_lib.Wal(disk).load()
+        if content.entries or content.hard_state.term:
+            raise disk_lib.DiskFault(
+                disk_lib.CorruptFile("absent beside a log", IDENTITY_FILE)
+            )
+    return None
+
+
+def create(
+    disk: disk_lib.Disk, identity: Identity, members: records.Members
+) -> None:
+    """Writes a new folder.
+
+    Args:
+      disk: Folder without an identity.
+      identity: Owner.
+      members: First member set; empty for an instance that is to join.
+    """
+    snapshots.save(disk, records.Snapshot(members=members))
+    wal_lib.Wal(disk).create()
+    payload = [identity.name, identity.incarnation]
+    disk.replace(IDENTITY_FILE, frames.encode(0, payload))
+
+
+class Store:
+    """Open data folder.
+
+    Args:
+      disk: Folder with an identity.
+
+    Raises:
+      DiskFault: A file is absent or damaged.
+    """
+
+    def __init__(self, disk: disk_lib.Disk):
+        self._disk = disk
+        self._wal = wal_lib.Wal(disk)
+        content = self._wal.load()
+        self.cut_bytes = content.cut_bytes
+        self.hard_state = content.hard_state
+        try:
+            self.log = raft_log.Log(snapshots.load(disk), content.entries)
+        except ValueError as error:
+            raise disk_lib.DiskFault(
+                disk_lib.CorruptFile(str(error), wal_lib.FILE)
+            ) from error
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of the log on disk."""
+        return self._wal.size_bytes
+
+    def write(self, outputs) -> None:
+        """Writes and syncs what the outputs of consecutive steps name.
+
+        Returns only after the sync; one sync covers all outputs.
+
+        Raises:
+          DiskFault: Nothing of the outputs may be acknowledged.
+        """
+        hard_state, entries, has_snapshot = None, [], False
+        for output in outputs:
+            hard_state = output.hard_state or hard_state
+            entries.extend(output.appended)
+            has_snapshot = has_snapshot or output.snapshot is not None
+        self.hard_state = hard_state or self.hard_state
+        if has_snapshot:
+            # The log in memory already reflects all outputs.
+            self.compact(self.log.snapshot)
+        elif hard_state is not None or entries:
+            self._wal.append(hard_state, entries)
+
+    def compact(self, snapshot: records.Snapshot) -> None:
+        """Saves a snapshot and drops the log that it covers."""
+        snapshots.save(self._disk, snapshot)
+        entries = self.log.between(snapshot.index + 1, self.log.last_index)
+        self._wal.compact(self.hard_state, entries)
--- a/auburnway/kernel/registry.py
+++ b/auburnway/kernel/registry.py
@@ -52,6 +52,11 @@
     return tuple(sorted(n for k, n in _plugins if k == kind))
 
 
+def kinds() -> tuple[str, ...]:
+    """Returns the kinds that have a registered plug-in, sorted."""
+    return tuple(sorted({k for k, _ in _plugins}))
+
+
 def load(package_name: str) -> None:
     """Imports all modules of a package, so that they register themselves.
 
--- /dev/null
+++ b/auburnway/rpc/control_client.py
@@ -0,0 +1,287 @@
+"""Client of the control group: finds the leader and bounds each call.
+
+A call ends in one of three ways. Success holds the reply, which may carry an
+error of its own. `NotExecuted` means that the call surely had no effect.
+`OutcomeUncertain` means that it was sent and may have had, or may still have,
+an effect.
+"""
+
+from collections import abc
+from concurrent import futures
+import threading
+import typing
+
+import grpc
+from returns import result
+
+from auburnway.core import clock as clock_lib
+from auburnway.core import errors
+from auburnway.rpc import channels
+from auburnway.rpc import control_errors
+from auburnway.rpc import control_pb2_grpc as pb_grpc
+
+# A connection that gave no reply for this long is replaced. It is longer than
+# the 400 ms for which a renewal is held.
+ATTEMPT_MS = 1000.0
+# Pause after all instances were asked, while an election goes on.
+PAUSE_MS = 50.0
+# Calls without an effect, and calls whose repetition finds the effect of the
+# first: these are sent again after an uncertain attempt.
+REPEATABLE = frozenset(
+    ("Renew", "Read", "Plan", "Apply", "InForce", "Audit", "Status")
+)
+# gRPC gives this detail when it never had a connection for the call, so that
+# no byte of it was sent.
+_NEVER_CONNECTED = "failed to connect"
+
+OnDone = abc.Callable[[result.Result], None]
+
+
+class ControlClient:
+    """Calls control instances; safe for use by several threads.
+
+    Args:
+      addresses: `ip:port` of the control instances.
+      token: Fleet token.
+      clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        addresses: abc.Sequence[str],
+        token: str,
+        clock: clock_lib.Clock,
+    ):
+        self.clock = clock
+        self.metadata = channels.metadata(token)
+        self._addresses = tuple(addresses)
+        self._lock = threading.Lock()
+        self._leader = ""
+        self._links: dict[str, _Link] = {}
+        self._is_closed = False
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        self.close()
+
+    def call(
+        self,
+        method: str,
+        request: typing.Any,
+        timeout_ms: float,
+        address: str = "",
+    ) -> result.Result[typing.Any, errors.Error]:
+        """Makes a call and waits for its end.
+
+        Args:
+          method: Method of the gRPC service, such as `Read`.
+          request: Its request message.
+          timeout_ms: Time for all attempts together.
+          address: Asks only this instance.
+        """
+        done: futures.Future = futures.Future()
+        self.call_async(method, request, timeout_ms, done.set_result, address)
+        return done.result()
+
+    def call_async(
+        self,
+        method: str,
+        request: typing.Any,
+        timeout_ms: float,
+        on_done: OnDone,
+        address: str = "",
+    ) -> None:
+        """Makes a call; `on_done` gets its result on another thread.
+
+        Args:
+          method: Method of the gRPC service, such as `Renew`.
+          request: Its request message.
+          timeout_ms: Time for all attempts together.
+          on_done: Called exactly once; must not block.
+          address: Asks only this instance.
+        """
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        _Call(self, method, request, deadline_ms, on_done, address).attempt()
+
+    def close(self) -> None:
+        """Closes all connections; calls in flight fail."""
+        with self._lock:
+            self._is_closed = True
+            links = tuple(self._links.values())
+            self._links.clear()
+        for link in links:
+            link.channel.close()
+
+    def next_address(self, tried: abc.Collection[str]) -> str:
+        """Returns the address to ask next; empty when all were tried."""
+        with self._lock:
+            if self._leader and self._leader not in tried:
+                return self._leader
+        for address in self._addresses:
+            if address not in tried:
+                return address
+        return ""
+
+    def note_leader(self, address: str) -> None:
+        """Remembers who leads."""
+        with self._lock:
+            self._leader = address
+
+    def forget_leader(self, address: str) -> None:
+        """Forgets a leader that did not answer as one."""
+        with self._lock:
+            if self._leader == address:
+                self._leader = ""
+
+    def take_link(self, address: str) -> "_Link | None":
+        """Returns a link for one attempt; None after `close`."""
+        with self._lock:
+            if self._is_closed:
+                return None
+            link = self._links.get(address)
+            if link is None:
+                link = self._links[address] = _Link(address)
+            link.in_flight += 1
+            return link
+
+    def return_link(
+        self, link: "_Link", started_ms: float, is_silent: bool
+    ) -> None:
+        """Ends an attempt; a link without any reply since is replaced.
+
+        Other calls on the link go on until they end by themselves.
+        """
+        with self._lock:
+            link.in_flight -= 1
+            if not is_silent:
+                link.heard_ms = self.clock.now_ms()
+            elif link.heard_ms < started_ms:
+                link.is_retired = True
+                if self._links.get(link.address) is link:
+                    del self._links[link.address]
+            is_unused = link.is_retired and not link.in_flight
+        if is_unused:
+            link.channel.close()
+
+
+class _Link:
+    """Connection to one control instance."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self.channel = channels.connect(address)
+        self.stub = pb_grpc.ControlStub(self.channel)
+        self.in_flight = 0
+        self.heard_ms = float("-inf")
+        self.is_retired = False
+
+
+class _Call:
+    """One call with its attempts at several instances."""
+
+    def __init__(self, client, method, request, deadline_ms, on_done, address):
+        self._client = client
+        self._method = method
+        self._request = request
+        self._deadline_ms = deadline_ms
+        self._on_done = on_done
+        self._pinned = address
+        self._tried: set[str] = set()
+        # What is reported when the time is over.
+        self._error: errors.Error = control_errors.NotExecuted(
+            "no control instance answered in time", method
+        )
+
+    def attempt(self) -> None:
+        """Asks the next instance, or ends the call."""
+        client = self._client
+        now_ms = client.clock.now_ms()
+        left_ms = self._deadline_ms - now_ms
+        if left_ms <= 0:
+            self._fail()
+            return
+        address = client.next_address(self._tried)
+        if self._pinned:
+            address = "" if self._pinned in self._tried else self._pinned
+        if not address:
+            self._tried.clear()
+            pause = threading.Timer(
+                min(PAUSE_MS, left_ms) / 1000.0, self.attempt
+            )
+            pause.daemon = True
+            pause.start()
+            return
+        self._tried.add(address)
+        link = client.take_link(address)
+        if link is None:
+            self._fail()
+            return
+        try:
+            call = getattr(link.stub, self._method).future(
+                self._request,
+                timeout=min(left_ms, ATTEMPT_MS) / 1000.0,
+                metadata=client.metadata,
+            )
+        except ValueError:
+            # The client was closed between the two statements.
+            client.return_link(link, now_ms, False)
+            self._fail()
+            return
+        call.add_done_callback(lambda done: self._on_end(link, now_ms, done))
+
+    def _fail(self):
+        self._on_done(result.Failure(self._error))
+
+    def _on_end(self, link, started_ms, call):
+        code = call.code()
+        is_silent = code is grpc.StatusCode.DEADLINE_EXCEEDED
+        self._client.return_link(link, started_ms, is_silent)
+        if code is grpc.StatusCode.OK:
+            self._on_reply(link, call.result())
+            return
+        self._client.forget_leader(link.address)
+        if code is grpc.StatusCode.UNAUTHENTICATED:
+            self._error = control_errors.BadToken(call.details(), link.address)
+            self._fail()
+            return
+        if code is grpc.StatusCode.UNAVAILABLE and (
+            _NEVER_CONNECTED in (call.details() or "")
+        ):
+            self.attempt()
+            return
+        self._on_uncertain(f"{code.name}: {call.details()}", link.address)
+
+    def _on_reply(self, link, reply):
+        error = _error_of(reply)
+        if error is not None and error.code == control_errors.NotLeader.code:
+            self._client.forget_leader(link.address)
+            leader = error.leader_address
+            if leader and leader not in self._tried:
+                self._client.note_leader(leader)
+            self.attempt()
+            return
+        uncertain = control_errors.OutcomeUncertain.code
+        if error is not None and error.code == uncertain:
+            self._on_uncertain(error.message, link.address)
+            return
+        if self._method != "Status":
+            self._client.note_leader(link.address)
+        self._on_done(result.Success(reply))
+
+    def _on_uncertain(self, detail, address):
+        self._error = control_errors.OutcomeUncertain(detail, address)
+        if self._method in REPEATABLE:
+            self.attempt()
+        else:
+            self._fail()
+
+
+def _error_of(reply):
+    """Returns the first error of a reply, or None."""
+    found = getattr(reply, "errors", None)
+    if found is not None:
+        return found[0] if found else None
+    error = getattr(reply, "error", None)
+    return error if error is not None and error.code else None
