Serve one query end to end by separate processes

Cause: the parts met for the first time; no release note was accepted, because the entry did not echo the lease id by which control knows that a lease was received. Ruled out: counting a lease as held once the reply was sent; the reply may be lost, and then a majority would be assumed that does not exist.

--- a/auburnway/demo/fleet.py
+++ b/auburnway/demo/fleet.py
@@ -228,10 +228,13 @@
 
     def initialize_control(self) -> None:
         """Writes identity and first voter set on each control disk."""
+        running = []
         for member in self.control:
-            path = self.folder / f"{member.name}.toml"
-            command = [sys.executable, "-m", "auburnway.control.main", "init"]
-            subprocess.run([*command, "--settings", str(path)], check=True)
+            command = ["init" if c == "run" else c for c in member.command]
+            running.append(subprocess.Popen(command, stderr=subprocess.DEVNULL))
+        for process in running:
+            if process.wait():
+                raise NotReady("auburnway-control init failed")
 
     def start(self, member: Member) -> None:
         """Starts one process; its log goes to the fleet's folder."""
--- a/auburnway/entry/claim_client.py
+++ b/auburnway/entry/claim_client.py
@@ -14,6 +14,7 @@
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import mailbox as mailbox_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.rpc import control_errors
 from auburnway.rpc import control_pb2
 
 CLAIM_TIMEOUT_MS = 1500.0
@@ -129,7 +130,9 @@
             self._call("Settle", message, SETTLE_TIMEOUT_MS, on_settled)
 
         def on_settled(reply):
-            if reply is None:
+            if reply is None or (
+                reply.error.code == control_errors.NotExecuted.code
+            ):
                 self._timers.after(RETRY_MS, send)
                 return
             self.unsettled -= 1
--- a/auburnway/entry/crash_guard.py
+++ b/auburnway/entry/crash_guard.py
@@ -108,7 +108,7 @@
         fingerprint = self.fingerprint(request)
 
         def on_reply(reply):
-            if reply is None:
+            if reply is None or reply.error.code:
                 on_state("unavailable")
                 return
             if reply.state == "clear":
--- a/auburnway/entry/lease.py
+++ b/auburnway/entry/lease.py
@@ -44,6 +44,7 @@
         self._on_lease = on_lease
         self._leaving = False
         self._stopped = False
+        self._lease_id = 0
         self.configuration = configuration_lib.EMPTY
         self.lease_end_ms = 0.0
         self.has_read = False
@@ -80,6 +81,9 @@
         request.number = self.configuration.number
         request.wait_ms = POLL_WAIT_MS if self.has_read else 0
         request.leaving = self._leaving
+        # Tells control that the last lease was received, so that it may
+        # count on this entry when it needs a majority.
+        request.held_lease_id = self._lease_id
         sent_ms = self._clock.now_ms()
 
         def on_done(outcome):
@@ -90,11 +94,12 @@
     def _on_reply(self, outcome: typing.Any, sent_ms: float) -> None:
         if self._stopped:
             return
-        if not pipeline.is_successful(outcome):
+        if not pipeline.is_successful(outcome) or outcome.unwrap().error.code:
             self._timers.after(RETRY_MS, self._renew)
             return
         reply = outcome.unwrap()
         self.has_read = True
+        self._lease_id = reply.lease_id
         if reply.configuration:
             self.take(configuration_lib.decode(reply.configuration))
         # The lease counts from the instant of sending, so that neither a
