--- a/auburnway/net/http_client_test.py
+++ b/auburnway/net/http_client_test.py
@@ -125,9 +125,10 @@
 
 
 def test_refused_connection_counts_as_not_reached(harness):
-    server = Server(lambda number, data: GOOD)
-    server.close()
-    reply = harness.send(server.address)
+    # A bound socket that does not listen refuses connections.
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        reply = harness.send(f"127.0.0.1:{unused.getsockname()[1]}")
     assert reply.failure is http_client.Failure.CONNECT_FAILED
     assert not reply.reached
 
