--- a/auburnway/storage/disk.py
+++ b/auburnway/storage/disk.py
@@ -189,14 +189,17 @@
     """Files in memory whose faults a test chooses.
 
     Attributes:
-      fail_next_sync: The next sync raises, as after a device error.
+      syncs_before_failure: So many syncs succeed and the next one raises, as
+        after a device error or when the machine stops; None for no failure.
+      torn_bytes: What a failing sync still writes of the appended bytes.
       capacity_bytes: Writes that exceed it raise `DiskFull`.
     """
 
     def __init__(self):
         self._synced: dict[str, bytes] = {}
         self._pending: dict[str, bytes] = {}
-        self.fail_next_sync = False
+        self.syncs_before_failure: int | None = None
+        self.torn_bytes = 0
         self.capacity_bytes = 1 << 40
 
     def read(self, name: str) -> bytes | None:
@@ -214,10 +217,9 @@
 
     def sync(self, name: str) -> None:
         """Makes the appended bytes survive a crash."""
-        if self.fail_next_sync:
-            self.fail_next_sync = False
+        if self._fails_now():
             # As on Linux, a failed sync drops what was not written.
-            self._pending.pop(name, None)
+            self.crash()
             raise DiskFault(DiskError("sync failed", name))
         if name in self._pending:
             pending = self._pending.pop(name)
@@ -232,8 +234,7 @@
         """Replaces or creates a whole file, atomically and durably."""
         if self._used_bytes() + len(data) > self.capacity_bytes:
             raise DiskFault(DiskFull("no space left", name))
-        if self.fail_next_sync:
-            self.fail_next_sync = False
+        if self._fails_now():
             raise DiskFault(DiskError("sync failed", name))
         self._synced[name] = data
         self._pending.pop(name, None)
@@ -247,12 +248,12 @@
         """Returns the names of all files, sorted."""
         return tuple(sorted(self._synced.keys() | self._pending.keys()))
 
-    def crash(self, torn_bytes: int = 0) -> None:
-        """Drops unsynced bytes, except a prefix of `torn_bytes` per file."""
+    def crash(self) -> None:
+        """Drops appended bytes, except the first `torn_bytes` per file."""
         for name, pending in self._pending.items():
-            if pending[:torn_bytes]:
-                kept = self._synced.get(name, b"") + pending[:torn_bytes]
-                self._synced[name] = kept
+            kept = pending[: self.torn_bytes]
+            if kept:
+                self._synced[name] = self._synced.get(name, b"") + kept
         self._pending.clear()
 
     def lose(self) -> None:
@@ -260,6 +261,11 @@
         self._synced.clear()
         self._pending.clear()
 
+    def _fails_now(self):
+        left = self.syncs_before_failure
+        self.syncs_before_failure = left - 1 if left else None
+        return left == 0
+
     def _used_bytes(self):
         files = (*self._synced.values(), *self._pending.values())
         return sum(len(content) for content in files)
