Check single votes, single member changes and frozen nodes

Cause: mutation trials of the Raft rules passed unnoticed: a vote that was not persisted, two member changes at a time, promotion before catch-up, commit of an old term's entry and missing stickiness. Change: the model checks one vote per node and term, single member changes and catch-up before promotion; nodes freeze, and restart during a run; two scripted tests for stickiness and for old-term entries.

--- a/auburnway/core/raft_test.py
+++ b/auburnway/core/raft_test.py
@@ -11,6 +11,7 @@
 from auburnway.control import store as store_lib
 from auburnway.core import clock as clock_lib
 from auburnway.core import raft as raft_lib
+from auburnway.core import raft_log
 from auburnway.core import raft_records as records
 from auburnway.storage import disk as disk_lib
 
@@ -83,7 +84,10 @@
         self.leaders = {}
         self.read_floors = {}
         self.messages = []
+        self.votes = {}
         self.cuts = set()
+        # Instances whose process does not run for a while.
+        self.frozen = set()
         self.reads = 0
         self.proposals = 0
         self.lives = {
@@ -93,8 +97,12 @@
     def on_output(self, life, output):
         """Checks the promises that the step touches."""
         for message in output.messages:
-            is_vote = isinstance(message, records.VoteReply)
-            assert not (is_vote and message.granted and not life.raft.members)
+            if isinstance(message, records.VoteReply) and message.granted:
+                assert life.raft.members, "a vote without a disk"
+                if not message.pre_vote:
+                    vote = (message.source, message.term)
+                    known = self.votes.setdefault(vote, message.target)
+                    assert known == message.target, "two votes in a term"
         self.messages.extend(output.messages)
         for entry in output.committed:
             promise = (entry.term, entry.data, entry.kind)
@@ -107,6 +115,7 @@
             assert life.raft.commit >= read.index
         if output.role is records.Role.LEADER:
             self.check_leader(life)
+            self.check_change(life, output)
 
     def check_leader(self, life):
         raft = life.raft
@@ -119,25 +128,63 @@
             if index > raft.log.snapshot.index and term <= raft.term:
                 assert raft.log.term(index) == term
 
+    def check_change(self, life, output):
+        """Checks that member changes are single and come after catch-up."""
+        raft = life.raft
+        changes = [
+            e
+            for e in output.appended
+            if e.kind is records.Kind.VOTERS and e.term == raft.term
+        ]
+        if not changes:
+            return
+        log, first = raft.log, changes[0].index
+        open_entries = log.between(raft.commit + 1, log.last_index)
+        open_changes = [
+            e for e in open_entries if e.kind is records.Kind.VOTERS
+        ]
+        assert len(open_changes) <= 1, "two member changes at a time"
+        old = {m.incarnation for m in log.members_at(first - 1) if m.voter}
+        new = {m.incarnation for m in raft.members if m.voter}
+        assert len(old ^ new) <= 1, "more than one voter changed"
+        for other in self.lives.values():
+            if other.identity.incarnation in new - old:
+                held = store_lib.Store(other.disk).log.last_index
+                assert held >= raft.commit, "a voter that lacks entries"
+
     def deliver(self, message):
         for life in self.lives.values():
             if life.identity.incarnation == message.target:
                 source = message.source.split(".")[0]
-                if (source, life.identity.name) not in self.cuts:
+                if life.identity.name in self.frozen:
+                    self.messages.append(message)
+                elif (source, life.identity.name) not in self.cuts:
                     life.act(lambda raft: raft.step(message))
 
-    def run(self, duration_ms, rng=None, drop=0.0, duplicate=0.0, keep=0.0):
+    def run(
+        self,
+        duration_ms,
+        rng=None,
+        drop=0.0,
+        duplicate=0.0,
+        keep=0.0,
+        restart=0.0,
+    ):
         """Passes time; `keep` holds messages back, which reorders them."""
         rng = rng or random.Random(0)
         for _ in range(int(duration_ms / STEP_MS)):
             self.clock.advance(STEP_MS)
             for life in self.lives.values():
-                life.act(lambda raft: raft.tick())
+                if life.raft is not None and rng.random() < restart:
+                    life.crash()
+                    life.start()
+                if life.identity.name not in self.frozen:
+                    life.act(lambda raft: raft.tick())
             self.join()
             for _ in range(4):
-                batch, self.messages = self.messages, []
+                batch, self.messages = self.messages[-200:], []
                 rng.shuffle(batch)
-                for message in batch[:200]:
+                for message in batch:
                     if rng.random() < drop:
                         continue
                     if rng.random() < keep:
@@ -204,6 +251,7 @@
 
     def heal(self):
         self.cuts.clear()
+        self.frozen.clear()
         for life in self.lives.values():
             life.disk.syncs_before_failure = None
             if life.raft is None:
@@ -223,10 +271,11 @@
         drop=strategies.sampled_from((0.0, 0.0, 0.1, 0.4)),
         duplicate=strategies.sampled_from((0.0, 0.2)),
         keep=strategies.sampled_from((0.0, 0.5)),
+        restart=strategies.sampled_from((0.0, 0.0, 0.05)),
     )
-    def run_for(self, seed, steps, drop, duplicate, keep):
+    def run_for(self, seed, steps, drop, duplicate, keep, restart):
         rng = random.Random(seed)
-        self.cluster.run(steps * STEP_MS, rng, drop, duplicate, keep)
+        self.cluster.run(steps * STEP_MS, rng, drop, duplicate, keep, restart)
 
     @stateful.rule()
     def elect(self):
@@ -252,6 +301,24 @@
         for other in NAMES:
             self.cluster.cuts |= {(name, other), (other, name)}
 
+    @stateful.rule()
+    def freeze_leader(self):
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.cluster.frozen.add(leader.identity.name)
+
+    @stateful.rule(at_once=strategies.booleans(), seed=strategies.integers())
+    def thaw(self, at_once, seed):
+        # A read arrives before the messages that waited, and before a tick.
+        cluster = self.cluster
+        thawed, cluster.frozen = sorted(cluster.frozen), set()
+        for name in thawed:
+            cluster.read(name, at_once)
+        batch, cluster.messages = cluster.messages, []
+        random.Random(seed).shuffle(batch)
+        for message in batch:
+            cluster.deliver(message)
+
     @stateful.rule()
     def reconnect(self):
         self.cluster.cuts.clear()
@@ -375,6 +442,39 @@
     assert leader.raft.term == term
 
 
+def test_cut_between_leader_and_one_follower_changes_nothing():
+    # Guards against elections that a node wins over one that still hears the
+    # leader.
+    cluster, leader = _elected()
+    term, name = leader.raft.term, leader.identity.name
+    other = next(n for n in NAMES if n != name)
+    cluster.cuts = {(name, other), (other, name)}
+    cluster.run(10_000.0)
+    assert (cluster.leader(), leader.raft.term) == (leader, term)
+
+
+def test_entry_of_an_older_term_is_not_committed_by_its_copies():
+    # Guards against a committed entry that a later leader replaces.
+    members = tuple(records.Member(n, n, n) for n in NAMES)
+    entry = records.Entry(1, 1, records.Kind.COMMAND, b"x")
+    clock = clock_lib.ManualClock()
+    raft = raft_lib.Raft(
+        raft_lib.Config("a"),
+        records.HardState(3),
+        raft_log.Log(records.Snapshot(members=members), (entry,)),
+        clock,
+        random.Random(0),
+    )
+    clock.advance(1000.0)
+    raft.tick()
+    raft.step(records.VoteReply("b", "a", 4, True, True))
+    raft.step(records.VoteReply("b", "a", 4, True, False))
+    output = raft.step(records.AppendReply("b", "a", 4, True, 1, 1))
+    assert (output.role, output.committed) == (records.Role.LEADER, ())
+    output = raft.step(records.AppendReply("b", "a", 4, True, 2, 1))
+    assert [e.index for e in output.committed] == [1, 2]
+
+
 def test_disk_loss_of_a_live_name_is_not_repaired_twice():
     # Guards against a second process with the same name and an empty folder
     # that would push out the voter that still answers.
