Test the replicated state against an independent model

Cause: at-most-once, one winner per release note number and equal replicas must hold under any order of races, resends, restarts and pruning.

Ruled out: unit tests of single transitions alone, because the faults to fear need several steps (a settle after an abandon, a removal that comes late).

Change: a Hypothesis state machine over all commands except RefuseNote, with replay and a round trip of the encoded form; tables for the checks of release notes; the audit chain with changed, rewritten and removed rows.

--- /dev/null
+++ b/auburnway/core/note_test.py
@@ -0,0 +1,208 @@
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import note
+from auburnway.core import note_items
+
+HEAD = 'number = {}\nauthor = "kim"\nsummary = "why"\n'
+BASE = (
+    HEAD.format(1)
+    + """
+[[add.rank]]
+name = "urgent"
+order = 0
+floor_share = 0.6
+latency_target_ms = 300
+[[add.rank]]
+name = "bulk"
+order = 1
+floor_share = 0.4
+latency_target_ms = 3000.0
+[[add.application]]
+name = "catalogue"
+slots_per_server = 5
+connections_per_server = 40
+[[add.kind]]
+name = "search"
+application = "catalogue"
+rank = "urgent"
+"""
+)
+
+
+def parsed(text):
+    return note.parse(text, "test").unwrap()
+
+
+BASE_CONFIGURATION = note.apply(configuration_lib.EMPTY, parsed(BASE))
+
+
+def codes(body, configuration=BASE_CONFIGURATION, number=2, **options):
+    found = note.check(
+        configuration, parsed(HEAD.format(number) + body), **options
+    )
+    assert all(error.source and error.detail for error in found)
+    return sorted(error.code for error in found)
+
+
+def table(action, item, **values):
+    shown = {str: '"{}"'.format, bool: lambda v: str(v).lower()}
+    rows = "".join(
+        f"{key} = {shown.get(type(value), str)(value)}\n"
+        for key, value in values.items()
+    )
+    return f"[[{action}.{item}]]\n{rows}"
+
+
+RANK = {"floor_share": 0.0, "latency_target_ms": 1}
+
+
+@pytest.mark.parametrize(
+    "body, expected",
+    [
+        ("", []),
+        (table("change", "kind", name="search", rank="bulk"), []),
+        (
+            table("change", "kind", name="search", rank="x"),
+            ["unknown_reference"],
+        ),
+        (
+            table("change", "kind", name="search", application="x"),
+            ["unknown_reference"],
+        ),
+        (table("withdraw", "rank", name="urgent"), ["in_use"]),
+        (table("withdraw", "rank", name="bulk"), []),
+        (
+            table("withdraw", "rank", name="urgent")
+            + table("change", "kind", name="search", rank="bulk"),
+            [],
+        ),
+        (
+            table("withdraw", "rank", name="urgent")
+            + table("withdraw", "kind", name="search"),
+            [],
+        ),
+        (
+            table("withdraw", "rank", name="bulk")
+            + table("change", "kind", name="search", rank="bulk"),
+            ["unknown_reference"],
+        ),
+        (
+            table("change", "rank", name="bulk", floor_share=0.5),
+            ["floors_exceeded"],
+        ),
+        (
+            table("change", "rank", name="bulk", floor_share=0.5)
+            + table("change", "rank", name="urgent", floor_share=0.5),
+            [],
+        ),
+        (table("add", "rank", name="r", order=1, **RANK), ["same_order"]),
+        (table("change", "rank", name="x", order=5), ["not_present"]),
+        (table("withdraw", "drain", name="x"), ["not_present"]),
+        (
+            table("add", "rank", name="bulk", order=9, **RANK),
+            ["already_present"],
+        ),
+        (table("add", "drain", name="s") * 2, ["duplicate_name"]),
+        (table("change", "rank", name="bulk"), ["bad_value"]),
+        (table("change", "rank", name="bulk", order=True), ["bad_value"]),
+        (table("change", "rank", name="bulk", order="nan"), ["bad_value"]),
+        (table("change", "rank", name="bulk", colour=1), ["bad_value"]),
+        (table("withdraw", "rank", name="bulk", order=1), ["bad_value"]),
+        (table("add", "drain", name="a b"), ["bad_value"]),
+        (
+            table("change", "kind", name="search", canary="on"),
+            ["bad_value"],
+        ),
+        (
+            # A broken rank is not also reported as unknown to its user.
+            table("add", "rank", name="r", order=-1, **RANK)
+            + table("change", "kind", name="search", rank="r"),
+            ["bad_value"],
+        ),
+    ],
+)
+def test_check_finds_exactly_these_errors(body, expected):
+    assert codes(body) == expected
+
+
+def test_all_errors_are_reported_at_once():
+    # Guards against one correction and one refusal after the other.
+    body = (
+        table("add", "rank", name="r", order=500)
+        + table("withdraw", "rank", name="urgent")
+        + table("change", "caller", name="nobody", share=0)
+        + table("add", "kind", name="k", application="no", rank="no")
+        + "[[add.colour]]\nname = 'x'\n[extra]\n"
+    )
+    assert codes(body, number=7) == sorted(
+        # Rank r: order out of range, two required keys absent; caller's
+        # share; unknown item; unknown top-level key.
+        ["bad_value"] * 6
+        + ["wrong_number", "in_use", "not_present"]
+        + ["unknown_reference"] * 2
+    )
+
+
+def test_policies_are_checked_against_plug_ins_when_they_are_given():
+    good = table("add", "policy", name="hedging", value="percentile")
+    values = {"hedging": ("percentile",), "ramp": ("linear",)}
+    assert codes(good) == codes(good, policy_values=values) == []
+    for name, value in (("hedging", "linear"), ("hedge", "percentile")):
+        body = table("add", "policy", name=name, value=value)
+        assert codes(body, policy_values=values) == ["unknown_policy"]
+
+
+def test_digest_ignores_layout_but_no_value():
+    one = parsed(BASE)
+    spaced = BASE.replace(" = ", "  =  ").replace("= 300\n", "= 300.0\n")
+    assert note.digest(one) == note.digest(parsed("# comment\n" + spaced))
+    for old, new in (("0.4", "0.3"), ("kim", "lee"), ("why", "w"), ("1", "2")):
+        other = parsed(BASE.replace(old, new, 1))
+        assert note.digest(other) != note.digest(one)
+
+
+@hypothesis.given(st.data())
+def test_diff_describes_each_change_and_apply_is_its_result(data):
+    # A plan that hides a change would let an operator accept it unseen.
+    share = data.draw(st.floats(0.001, 1000.0))
+    names = data.draw(st.sets(st.sampled_from("abcd"), min_size=1))
+    added = "".join(
+        table("add", "caller", name=name, share=share) for name in names
+    )
+    first = note.apply(BASE_CONFIGURATION, parsed(HEAD.format(2) + added))
+    gone = data.draw(st.sampled_from(sorted(names)))
+    body = table("withdraw", "caller", name=gone)
+    body += table("change", "rank", name="bulk", queue_limit=7)
+    second = note.apply(first, parsed(HEAD.format(3) + body))
+    assert second.find("caller", gone) is None
+    assert second.find("rank", "bulk").queue_limit == 7
+    changes = note.diff(first, second)
+    assert [(c.action, c.item, c.name) for c in changes] == [
+        ("change", "rank", "bulk"),
+        ("withdraw", "caller", gone),
+    ]
+    assert changes[0].before == "queue_limit=200"
+    assert changes[0].after == "queue_limit=7"
+    assert changes[1].after == ""
+    assert note.diff(second, second) == ()
+    assert len(note.diff(BASE_CONFIGURATION, first)) == len(names)
+
+
+def test_definitions_cover_the_records_and_examples_are_valid():
+    # A key that only one of the two knows could be set but not checked.
+    assert note_items.ITEMS.keys() == configuration_lib.ITEM_TYPES.keys()
+    for item, fields in note_items.ITEMS.items():
+        record = configuration_lib.ITEM_TYPES[item]
+        names = [field.name for field in dataclasses.fields(record)]
+        assert [field.name for field in fields] == names
+        for field in fields:
+            assert field.problem(field.example) == ""
+        for field in dataclasses.fields(record):
+            if field.default is not dataclasses.MISSING:
+                checked = next(f for f in fields if f.name == field.name)
+                assert checked.problem(field.default) == ""
--- /dev/null
+++ b/auburnway/core/replicated_state_test.py
@@ -0,0 +1,433 @@
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from auburnway.core import audit
+from auburnway.core import claims
+from auburnway.core import note_errors
+from auburnway.core import replicated_state as rs
+
+NAMES = ("e1", "e2", "e3")
+CALLERS = ("c1", "c2")
+RETENTION_MS = 20_000
+
+
+def note_text(number, order=0):
+    return (
+        f'number = {number}\nauthor = "kim"\nsummary = "s"\n'
+        f'[[add.rank]]\nname = "r{number}"\norder = {number * 10 + order}\n'
+        "floor_share = 0.001\nlatency_target_ms = 300\n"
+    )
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Runs commands beside a model that is written down independently."""
+
+    def __init__(self):
+        super().__init__()
+        self.state = rs.EMPTY_STATE
+        self.log = []
+        self.wall_ms = 100_000
+        self.accepted = {}
+        # (caller, key) -> [state, digest, claim_id, attempt, entry].
+        self.claims = {}
+        self.keys = [f"{self.wall_ms}-a"]
+        self.incarnations = dict.fromkeys(NAMES, 0)
+        self.floor_ms = 0
+        self.holders = {}
+
+    def run(self, make, *fields):
+        command = make(*fields, wall_ms=self.wall_ms)
+        index = len(self.log) * 2 + 1
+        self.log.append((index, command))
+        self.state, reply = rs.apply(self.state, index, command)
+        return reply
+
+    def incarnation(self, name):
+        return f"{name}-{self.incarnations[name]}"
+
+    def vanish(self, name):
+        incarnation = self.incarnation(name)
+        for claim in self.claims.values():
+            if claim[0] == "open" and claim[4] == incarnation:
+                claim[0] = "unknown"
+        self.holders = {
+            f: holder
+            for f, holder in self.holders.items()
+            if holder != incarnation
+        }
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def register(self, name):
+        if self.incarnations[name]:
+            self.vanish(name)
+        self.incarnations[name] += 1
+        incarnation = self.incarnation(name)
+        self.run(rs.RegisterEntry, name, incarnation, "d", "a:1", "a:2")
+
+    @stateful.rule(name=st.sampled_from(NAMES), late=st.booleans())
+    def remove(self, name, late):
+        incarnation = self.incarnation(name)
+        is_present = name in self.state.entries
+        if late:
+            # A removal of an earlier life must have no effect.
+            incarnation += "-old"
+        else:
+            self.vanish(name)
+        reply = self.run(rs.RemoveEntry, name, incarnation)
+        assert reply.changed == (is_present and not late)
+        assert (name in self.state.entries) == (is_present and late)
+
+    @stateful.rule(
+        back=st.integers(-1, 3),
+        order=st.integers(0, 2),
+        damage=st.sampled_from(["", "", "x = 1\n", "= ["]),
+    )
+    def submit(self, back, order, damage):
+        # Races and resends: a number in force, a later or an earlier one.
+        number = max(1, len(self.accepted) + 1 - back)
+        before = self.state.configuration
+        text = damage + note_text(number, order)
+        reply = self.run(rs.AcceptNote, text, "kim")
+        if damage:
+            assert reply.errors and self.state.configuration == before
+        elif number in self.accepted:
+            assert self.state.configuration == before
+            if self.accepted[number][0] == order:
+                assert reply.repeated_submission and not reply.errors
+                first = dataclasses.replace(reply, repeated_submission=False)
+                assert first == self.accepted[number][1]
+            else:
+                assert isinstance(reply.errors[0], note_errors.NoteConflict)
+                winner = self.accepted[number][1].digest
+                assert winner in reply.errors[0].detail
+        elif number == len(self.accepted) + 1:
+            assert not reply.errors and not reply.repeated_submission
+            assert self.state.configuration.number == number
+            self.accepted[number] = (order, reply)
+        else:
+            assert isinstance(reply.errors[0], note_errors.WrongNumber)
+            assert self.state.configuration == before
+
+    @stateful.rule(ahead_ms=st.integers(-RETENTION_MS, 310_000))
+    def issue_key(self, ahead_ms):
+        self.keys.append(f"{self.wall_ms + ahead_ms}-k{len(self.keys)}")
+
+    @stateful.rule(
+        caller=st.sampled_from(CALLERS),
+        pick=st.integers(0, 1000),
+        digest=st.sampled_from(["d1", "d1", "d1", "d2"]),
+        name=st.sampled_from(NAMES),
+    )
+    def claim(self, caller, pick, digest, name):
+        # Newer keys are more often within the retention.
+        key = self.keys[-1 - pick % min(3, len(self.keys))]
+        issued_ms = int(key.split("-")[0])
+        incarnation = self.incarnation(name)
+        reply = self.run(rs.Claim, caller, key, digest, name, incarnation)
+        known = self.claims.get((caller, key))
+        now_ms = self.state.wall_ms
+        if issued_ms > now_ms + 300_000:
+            assert reply.error.code == "bad_key"
+        elif issued_ms < self.floor_ms:
+            assert reply.state == "expired"
+        elif reply.error is not None:
+            assert reply.error.code == "entry_not_registered"
+            entry = self.state.entries.get(name)
+            assert entry is None or entry.incarnation != incarnation
+            assert known is None or known[0] == "not_run"
+        elif known is None:
+            assert (reply.state, reply.attempt) == ("granted", 1)
+            self.claims[caller, key] = [
+                "open",
+                digest,
+                reply.claim_id,
+                1,
+                incarnation,
+            ]
+        elif known[1] != digest:
+            assert reply.state == "conflict"
+        elif known[0] == "not_run":
+            assert (reply.state, reply.claim_id) == ("granted", known[2])
+            assert reply.attempt == known[3] + 1
+            known[0], known[3], known[4] = "open", reply.attempt, incarnation
+        else:
+            assert reply.state == known[0]
+            assert (reply.result == b"ok") == (known[0] == "done")
+
+    @stateful.precondition(lambda self: self.claims)
+    @stateful.rule(
+        pick=st.integers(0, 1000),
+        outcome=st.sampled_from(["done", "not_run", "not_run", "unknown"]),
+        stranger=st.sampled_from(["", "", "", "attempt", "entry"]),
+    )
+    def settle(self, pick, outcome, stranger):
+        claim = list(self.claims.values())[pick % len(self.claims)]
+        state, _, claim_id, attempt, owner = claim
+        reply = self.run(
+            rs.Settle,
+            claim_id,
+            attempt + (stranger == "attempt"),
+            owner + ("x" if stranger == "entry" else ""),
+            outcome,
+            b"ok",
+        )
+        if stranger:
+            assert reply.error is not None and reply.state == state
+        elif state == "open" or (state, outcome) == ("unknown", "done"):
+            assert reply.error is None and reply.state == outcome
+            claim[0] = outcome
+        else:
+            assert reply.state == state
+            assert (reply.error is None) == (state == outcome)
+
+    @stateful.rule(
+        fingerprint=st.sampled_from(["f1", "f2"]),
+        name=st.sampled_from(NAMES),
+        server=st.integers(1, 2),
+    )
+    def strike(self, fingerprint, name, server):
+        reply = self.run(rs.Strike, fingerprint, f"s{server}", "i", name)
+        assert reply.state != "clear" and 1 <= reply.strikes <= 3
+
+    @stateful.rule(
+        fingerprint=st.sampled_from(["f1", "f2"]),
+        name=st.sampled_from(NAMES),
+    )
+    def grant_trial(self, fingerprint, name):
+        incarnation = self.incarnation(name)
+        reply = self.run(rs.GrantTrial, fingerprint, name, incarnation)
+        if reply.state == "granted":
+            assert fingerprint not in self.holders
+            assert reply.refused_until_wall_ms <= self.state.wall_ms
+            self.holders[fingerprint] = incarnation
+
+    @stateful.rule(
+        fingerprint=st.sampled_from(["f1", "f2"]),
+        name=st.sampled_from(NAMES),
+        outcome=st.sampled_from(["passed", "lost", "not_run"]),
+    )
+    def end_trial(self, fingerprint, name, outcome):
+        incarnation = self.incarnation(name)
+        reply = self.run(
+            rs.EndTrial, fingerprint, incarnation, outcome, "s3", "i"
+        )
+        if self.holders.get(fingerprint) == incarnation:
+            del self.holders[fingerprint]
+            expected = {
+                "passed": {"clear"},
+                "lost": {"refused", "trial_required"},
+                "not_run": {"trial_required"},
+            }
+            assert reply.state in expected[outcome]
+
+    @stateful.rule(step_ms=st.sampled_from([-3_000, 0, 500, 5_000, 650_000]))
+    def pass_time(self, step_ms):
+        # A new leader's clock may lie behind that of the old one.
+        self.wall_ms += step_ms
+        command = rs.Tick(self.wall_ms, RETENTION_MS)
+        reply = self.run(lambda wall_ms: command)
+        assert reply.floor_ms >= self.floor_ms
+        self.floor_ms = reply.floor_ms
+        self.claims = {
+            key: claim
+            for key, claim in self.claims.items()
+            if int(key[1].split("-")[0]) >= self.floor_ms
+        }
+
+    @stateful.rule()
+    def restart_replica(self):
+        data = rs.encode_state(self.state)
+        self.state = rs.decode_state(data)
+        assert rs.encode_state(self.state) == data
+
+    @stateful.invariant()
+    def derived_data_agrees(self):
+        if self.state is rs.EMPTY_STATE:
+            return
+        # Other commands move the floor too, once a Tick set the retention.
+        self.floor_ms = max(self.floor_ms, self.state.floor_ms)
+        records = self.state.claims.records()
+        opened = sum(record.state == "open" for record in records)
+        assert self.state.claims.open_count == opened
+
+    def teardown(self):
+        assert not rs.EMPTY_STATE.index and not rs.EMPTY_STATE.entries
+        if not self.log:
+            return
+        replayed = rs.EMPTY_STATE
+        for index, command in self.log:
+            data = rs.encode_command(command)
+            replayed, _ = rs.apply(replayed, index, rs.decode_command(data))
+        assert rs.encode_state(replayed) == rs.encode_state(self.state)
+        assert audit.verify(self.state.audit) is None
+
+
+Machine.TestCase.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=50
+)
+TestReplicatedState = Machine.TestCase
+
+
+def apply_all(*given, state=rs.EMPTY_STATE):
+    replies = []
+    for command in given:
+        state, reply = rs.apply(state, state.index + 1, command)
+        replies.append(reply)
+    return state, replies
+
+
+def register(name, incarnation):
+    return rs.RegisterEntry(name, incarnation, "d", "a:1", "a:2", 0)
+
+
+def test_an_index_is_applied_once():
+    # Guards against a log entry that is replayed over a snapshot of it.
+    state, _ = apply_all(rs.Tick(1))
+    with pytest.raises(ValueError, match="follows"):
+        rs.apply(state, 1, rs.Tick(1))
+
+
+def test_wrong_text_resent_under_an_accepted_number_gets_no_receipt():
+    # The digest covers readable values only, so it alone must not decide.
+    text = note_text(1)
+    _, (_, reply) = apply_all(
+        rs.AcceptNote(text, "kim", 1),
+        rs.AcceptNote("extra = 1\n" + text, "kim", 2),
+    )
+    assert [error.code for error in reply.errors] == ["bad_value"]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "a = " + "[" * 100_000,
+        ".".join("a" * 3000) + " = 1",
+        "number = 0x" + "f" * 9000,
+        "number = 1\nauthor = nan\nsummary = 1979-05-27\nadd = [[]]",
+        "\x00",
+        "x" * (2 << 20),
+    ],
+    ids=["deep", "dotted", "huge integer", "types", "control", "long"],
+)
+def test_hostile_text_is_refused_as_a_value(text):
+    # An exception in apply would stop each replica at the same log entry.
+    state, (reply,) = apply_all(rs.AcceptNote(text, "kim", 1))
+    assert reply.errors and state.configuration.number == 0
+    assert state.audit[0].result == "refused"
+    assert all(error.remedy for error in reply.errors)
+
+
+def test_pruned_claims_leave_nothing_behind():
+    # A stale index would keep memory for each key that was ever used.
+    record = claims.Record(1, "c", "5-a", "d", "e", "i")
+    book = claims.Book([record])
+    assert book.prune(6) == 1
+    assert (len(book), book.open_count) == (0, 0)
+    assert book.find("c", "5-a") is None
+    assert book.claim(record) == ("granted", record)
+
+
+def test_large_results_are_dropped_but_known_as_done():
+    large = b"x" * (claims.MAX_RESULT_BYTES + 1)
+    _, replies = apply_all(
+        register("e", "i"),
+        rs.Claim("c", "5-a", "d", "e", "i", 5),
+        rs.Settle(2, 1, "i", "done", large, 5),
+        rs.Claim("c", "5-a", "d", "e", "i", 6),
+    )
+    assert replies[-1].state == "done"
+    assert replies[-1].result_dropped and replies[-1].result == b""
+
+
+def test_a_crashing_request_resent_twenty_times_costs_two_servers():
+    # Each resend goes to another entry, as in the figure of section 1.7.
+    names = [f"e{i}" for i in range(20)]
+    state, _ = apply_all(*(register(name, "i") for name in names))
+    lost = 0
+    for i, name in enumerate(names):
+        grant = rs.GrantTrial("f", name, "i", 1000 + i)
+        state, (reply,) = apply_all(grant, state=state)
+        if reply.state not in ("clear", "granted"):
+            continue
+        lost += 1
+        state, _ = apply_all(
+            rs.Strike("f", f"s{lost}", "i", name, 1000 + i),
+            rs.EndTrial("f", "i", "lost", f"s{lost}", "i", 1000 + i),
+            state=state,
+        )
+    assert lost == 2
+    assert reply.state == "refused"
+
+
+def test_strikes_alone_and_known_losses_never_refuse():
+    # An innocent request that met two lost servers must run again.
+    server = ("s1", "i")
+    _, replies = apply_all(
+        register("e", "i"),
+        rs.Strike("f", *server, "e", 1),
+        rs.Strike("f", *server, "e2", 1),
+        rs.Strike("f", "s2", "i", "e", 1),
+        rs.GrantTrial("f", "e", "i", 2),
+        rs.EndTrial("f", "i", "lost", *server, 3),
+        rs.GrantTrial("f", "e", "i", 4),
+        rs.EndTrial("f", "i", "passed", "", "", 5),
+    )
+    assert [reply.strikes for reply in replies[1:4]] == [1, 1, 2]
+    states = [reply.state for reply in replies[4:]]
+    assert states == ["granted", "trial_required", "granted", "clear"]
+
+
+def test_the_trial_of_a_vanished_entry_counts_as_lost():
+    state, replies = apply_all(
+        register("e", "i1"),
+        rs.Strike("f", "s1", "i", "e", 1),
+        rs.GrantTrial("f", "e", "i1", 2),
+        register("e", "i2"),
+        rs.GrantTrial("f", "e", "i2", 1000),
+        rs.GrantTrial("f", "e", "i2", 700_000),
+    )
+    assert replies[3].lost_trials == 1
+    assert [r.state for r in replies[4:]] == ["refused", "granted"]
+    assert state.audit[-1].action == "quarantine"
+
+
+@hypothesis.given(data=st.data())
+def test_a_changed_byte_of_an_audit_row_is_found(data):
+    state, _ = apply_all(
+        register("e1", "i"),
+        rs.AcceptNote(note_text(1), "kim", 2),
+        rs.AcceptNote(note_text(1, 1), "lee", 3),
+        rs.RefuseNote("lee", 2, "d", "no majority", 4),
+        rs.RemoveEntry("e1", "i", 5),
+    )
+    rows = list(state.audit)
+    assert audit.verify(rows) is None
+    position = data.draw(st.integers(0, len(rows) - 1))
+    row = rows[position]
+    field = data.draw(st.sampled_from(dataclasses.fields(row))).name
+    value = getattr(row, field)
+    if isinstance(value, int):
+        changed = value ^ 1 << data.draw(st.integers(0, 7))
+    else:
+        at = data.draw(st.integers(0, max(len(value) - 1, 0)))
+        flipped = chr(ord(value[at]) ^ 1) if value else "x"
+        changed = value[:at] + flipped + value[at + 1 :]
+    rows[position] = dataclasses.replace(row, **{field: changed})
+    assert audit.verify(rows) == position + 1
+
+
+def test_a_rewritten_audit_row_is_found_by_its_successor():
+    # Whoever rewrites a row can compute its own hash again as well.
+    one, _ = apply_all(register("e1", "i"), register("e2", "i"))
+    other, _ = apply_all(register("e3", "i"))
+    assert audit.verify([other.audit[0], one.audit[1]]) == 2
+
+
+def test_a_removed_audit_row_is_found():
+    state, _ = apply_all(register("e1", "i"), register("e2", "i"))
+    assert audit.verify(state.audit[1:]) == 1
+    assert audit.verify(state.audit[1:], state.audit[0].hash, 2) is None
