--- a/auburnway/policy/admission.py
+++ b/auburnway/policy/admission.py
@@ -233,11 +233,10 @@
         between the two neighbours as queries finish.
         """
         limit = max(1.0, permits)
-        is_same_whole = int(limit) == int(self._limit)
         self._limit = limit
         # Drawing again more often than queries finish would hold the upper
         # neighbour for too long.
-        if not is_same_whole:
+        if not int(limit) <= self._whole_limit <= math.ceil(limit):
             self._set_whole_limit()
 
     def demand(self) -> dict[str, tuple[int, int]]:
@@ -257,7 +256,7 @@
         Queries of a rank that was withdrawn keep their place behind all
         other ranks, with the least floor, until they are done.
         """
-        old = self._ranks
+        old = {state.name: state for state in self._by_order}
         self._ranks = {}
         for record in ranks:
             state = old.pop(record.name, None) or _Rank(record)
@@ -267,17 +266,17 @@
             self._ranks[record.name] = state
         withdrawn = [
             state
-            for state in (*old.values(), *self._by_order)
-            if state.name not in self._ranks
-            and (len(state.queue) or state.in_flight)
+            for state in old.values()
+            if len(state.queue) or state.in_flight
         ]
-        by_order = {id(state): state for state in self._ranks.values()}
         for state in withdrawn:
             state.order = math.inf
             state.floor = MIN_FLOOR_SHARE
-            by_order[id(state)] = state
         self._by_order = tuple(
-            sorted(by_order.values(), key=lambda state: state.order)
+            sorted(
+                (*self._ranks.values(), *withdrawn),
+                key=lambda state: state.order,
+            )
         )
         floors = sum(state.floor for state in self._by_order)
         for state in self._by_order:
