--- a/auburnway/standin/backend_test.py
+++ b/auburnway/standin/backend_test.py
@@ -10,6 +10,7 @@
 import pytest
 
 from auburnway.core import membership
+from auburnway.net import blocking_call
 from auburnway.standin import catalogue
 from auburnway.standin import embedded
 from auburnway.standin import settings
@@ -62,7 +63,7 @@
 
 
 def run(running, request_id="r1", query=None, snapshot=1, shard=0, **headers):
-    return embedded.call(
+    return blocking_call.call(
         running.address("a"),
         "POST",
         "/v1/run",
@@ -130,7 +131,7 @@
     ):
         first = pool.submit(run, running, "r1")
         wait_for(lambda: running.record("a")["started"] == 1)
-        _, _, reply = embedded.call(
+        _, _, reply = blocking_call.call(
             running.address("a"), "POST", "/v1/cancel", {"request_id": "r1"}
         )
         assert reply == {"cancelled": True}
@@ -167,7 +168,7 @@
                 lambda: running.host.backends["a"].server.connection_count == 1
             )
             running.control("a", {"action": "silence"})
-            status, _, _ = embedded.call(
+            status, _, _ = blocking_call.call(
                 running.address("a"), "GET", "/v1/ping"
             )
             assert status == 200
--- a/auburnway/standin/embedded.py
+++ b/auburnway/standin/embedded.py
@@ -3,13 +3,12 @@
 Tests use it to run several backend servers without starting processes.
 """
 
-import http.client
-import json
 import threading
 import typing
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import process
+from auburnway.net import blocking_call
 from auburnway.standin import host as host_lib
 from auburnway.standin import settings
 
@@ -52,38 +51,12 @@
         Raises:
           ValueError: The server refused the change.
         """
-        status, _, reply = call(self.address(name), "POST", "/v1/control", data)
+        status, _, reply = blocking_call.call(
+            self.address(name), "POST", "/v1/control", data
+        )
         if status != 200:
             raise ValueError(reply)
 
     def record(self, name: str, with_ids: bool = False) -> dict:
         """Returns the truthful record of a backend server."""
         return self.host.backends[name].record.as_dict(with_ids)
-
-
-def call(
-    address: str,
-    method: str,
-    path: str,
-    data: typing.Any = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 5.0,
-) -> tuple[int, dict[str, str], typing.Any]:
-    """Makes one HTTP call on its own connection.
-
-    Returns:
-      Status, headers by lower-case name, and the decoded JSON body.
-
-    Raises:
-      OSError, http.client.HTTPException: There is no whole reply.
-    """
-    connection = http.client.HTTPConnection(address, timeout=timeout_s)
-    try:
-        body = None if data is None else json.dumps(data).encode()
-        connection.request(method, path, body, headers or {})
-        reply = connection.getresponse()
-        content = reply.read()
-        lower = {name.lower(): value for name, value in reply.getheaders()}
-        return reply.status, lower, json.loads(content) if content else None
-    finally:
-        connection.close()
--- a/auburnway/standin/host.py
+++ b/auburnway/standin/host.py
@@ -1,6 +1,7 @@
 """Several fake backend servers in one process, on one loop."""
 
 from collections import abc
+import fnmatch
 import json
 
 from auburnway.core import clock as clock_lib
@@ -101,20 +102,24 @@
         request.reply(status, json.dumps(data).encode())
 
     def _control(self, request: http_server.Request) -> None:
-        """Passes a control request to the servers that it names."""
+        """Passes a control request to the servers that it names.
+
+        `servers` holds shell patterns. No match is no error, because one
+        request may be sent to all stand-in processes; the reply lists the
+        servers that matched.
+        """
         try:
             data = json.loads(request.body)
-            names = list(data.get("servers") or self.backends)
+            patterns = list(data.get("servers") or ["*"])
         except (ValueError, TypeError, AttributeError):
             request.reply(400, b'{"errors": ["no JSON object"]}')
             return
-        unknown = [name for name in names if name not in self.backends]
-        if unknown:
-            errors = {"errors": [f"unknown servers: {unknown}"]}
-            request.reply(400, json.dumps(errors).encode())
-            return
-        done = {name: self.backends[name].control(data) for name in names}
-        status = max(code for code, _, _ in done.values())
+        done = {
+            name: backend.control(data)
+            for name, backend in self.backends.items()
+            if any(fnmatch.fnmatch(name, pattern) for pattern in patterns)
+        }
+        status = max((code for code, _, _ in done.values()), default=200)
         replies = {name: reply for name, (_, reply, _) in done.items()}
         request.reply(status, json.dumps(replies).encode())
         for _, _, action in done.values():
