Add the bench of scenarios, policies and baselines

Ruled out: changing the policy by a second release note on a running fleet, because measurements of one run would carry into the next; one process per backend server, because the entries under test need the cores. The load tool starts at a given instant, so that signals to processes fall at their instants.

--- /dev/null
+++ b/auburnway/load/bench_report.py
@@ -0,0 +1,165 @@
+"""Median and spread over seeds, as Markdown and as a plot."""
+
+import statistics
+import typing
+
+from auburnway.load import report as report_lib
+from auburnway.load import tally
+
+Row = dict[str, float | None]
+
+# Column titles of the table by figure.
+COLUMNS = {
+    "urgent_p50_ms": "urgent p50 ms",
+    "urgent_p99_ms": "urgent p99 ms",
+    "urgent_good_share": "urgent good",
+    "standard_good_share": "standard good",
+    "background_good_per_s": "background good/s",
+    "good_per_s": "all good/s",
+    "partial_share": "partial",
+    "extra_share": "extra load",
+    "cut_off": "cut off",
+    "faults": "untrue",
+    "recovery_ms": "recovery ms",
+}
+# A period counts as recovered below this multiple of the p99 before the flood.
+RECOVERED_RATIO = 1.5
+
+
+def figures(report: report_lib.Report, flood_end_ms: float) -> Row:
+    """Returns the compared figures of one run.
+
+    Args:
+      report: Report of the load tool.
+      flood_end_ms: End of the flood, 0 for none.
+    """
+    ranks = report["ranks"]
+    outcomes: dict[str, int] = {}
+    for row in ranks.values():
+        for name, count in row["outcomes"].items():
+            outcomes[name] = outcomes.get(name, 0) + count
+    offered = sum(row["offered"] for row in ranks.values())
+    urgent = ranks.get("urgent", {})
+    latency = urgent.get("latency_ms", {})
+    failures = report["attempt_failures"]
+    return {
+        "urgent_p50_ms": latency.get("p50"),
+        "urgent_p99_ms": latency.get("p99"),
+        "urgent_good_share": urgent.get("good_share"),
+        "standard_good_share": ranks.get("standard", {}).get("good_share"),
+        "background_good_per_s": ranks.get("background", {}).get("good_per_s"),
+        "good_per_s": sum(row["good_per_s"] for row in ranks.values()),
+        "partial_share": outcomes.get("partial", 0) / max(offered, 1),
+        "extra_share": report["backend"]["extra_share"],
+        "cut_off": failures.get("cut_off", 0) + failures.get("no_answer", 0),
+        "faults": report_lib.fault_count(report),
+        "recovery_ms": _recovery_ms(urgent, flood_end_ms),
+    }
+
+
+def _recovery_ms(urgent: dict, flood_end_ms: float) -> float | None:
+    """Returns the time from the end of a flood to the last slow period."""
+    series = urgent.get("series", [])
+    if not flood_end_ms or not series:
+        return None
+    after = [p for p in series if p["at_ms"] >= flood_end_ms]
+    # Without the flood the rest of the run is calm; its last quarter is the
+    # calm value, measured in the same run.
+    calm = [p["p99_ms"] for p in after[-max(len(after) // 4, 1) :]]
+    known = [value for value in calm if value is not None]
+    if not known:
+        return None
+    limit_ms = statistics.median(known) * RECOVERED_RATIO
+    slow = [
+        point["at_ms"] + tally.SERIES_PERIOD_MS
+        for point in after
+        if point["p99_ms"] is None or point["p99_ms"] > limit_ms
+    ]
+    return max(slow, default=flood_end_ms) - flood_end_ms
+
+
+def summarize(rows: list[Row]) -> dict[str, typing.Any]:
+    """Returns median, least and greatest value of each figure."""
+    found = {}
+    for name in COLUMNS:
+        values = [row[name] for row in rows if row[name] is not None]
+        if values:
+            found[name] = {
+                "median": statistics.median(values),
+                "least": min(values),
+                "greatest": max(values),
+            }
+    return found
+
+
+def as_markdown(results: dict[str, dict[str, dict]]) -> str:
+    """Returns one table: median (least to greatest) by scenario and policy.
+
+    Args:
+      results: Summaries by scenario and policy.
+    """
+    titles = ["scenario", "policy", *COLUMNS.values()]
+    lines = [
+        "| " + " | ".join(titles) + " |",
+        "|" + "---|" * len(titles),
+    ]
+    for scenario, by_policy in results.items():
+        for policy, summary in by_policy.items():
+            cells = [_cell(name, summary.get(name)) for name in COLUMNS]
+            lines.append(
+                f"| {scenario} | {policy} | " + " | ".join(cells) + " |"
+            )
+    return "\n".join(lines)
+
+
+def _cell(name: str, summary: dict[str, float] | None) -> str:
+    if summary is None:
+        return "-"
+    form = "{:.1%}" if name.endswith("_share") else "{:.1f}"
+    if name in ("cut_off", "faults", "recovery_ms"):
+        form = "{:.0f}"
+    median, least, greatest = (
+        form.format(summary[key]) for key in ("median", "least", "greatest")
+    )
+    if least == greatest:
+        return median
+    return f"{median} ({least} to {greatest})"
+
+
+def plot(results: dict[str, dict[str, dict]], path: str) -> None:
+    """Writes urgent p99 and goodput by scenario and policy as one PNG."""
+    # matplotlib takes half a second to import and is a test library.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    scenarios = list(results)
+    policies = list(dict.fromkeys(p for r in results.values() for p in r))
+    figure, axes = pyplot.subplots(3, 1, figsize=(11, 11), sharex=True)
+    names = ("urgent_p99_ms", "urgent_good_share", "good_per_s")
+    width = 0.8 / max(len(policies), 1)
+    for axis, name in zip(axes, names, strict=True):
+        for i, policy in enumerate(policies):
+            found = [results[s].get(policy, {}).get(name) for s in scenarios]
+            medians = [f["median"] if f else 0.0 for f in found]
+            low = [f["median"] - f["least"] if f else 0.0 for f in found]
+            high = [f["greatest"] - f["median"] if f else 0.0 for f in found]
+            axis.bar(
+                [
+                    x + (i - (len(policies) - 1) / 2) * width
+                    for x in range(len(scenarios))
+                ],
+                medians,
+                width,
+                yerr=[low, high],
+                capsize=2,
+                label=policy,
+            )
+        axis.set_ylabel(COLUMNS[name])
+    axes[0].set_yscale("log")
+    axes[0].legend()
+    axes[-1].set_xticks(range(len(scenarios)), scenarios, rotation=30)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
--- a/auburnway/load/main.py
+++ b/auburnway/load/main.py
@@ -21,11 +21,16 @@
     parser.add_argument("scenario", help="scenario file, TOML")
     parser.add_argument("--json", help="write the report to this file")
     parser.add_argument("--plot", help="write a plot to this PNG file")
+    parser.add_argument(
+        "--start-wall-ms",
+        type=float,
+        help="start the run at this instant, milliseconds since the epoch",
+    )
     parser.add_argument("--log-level", default="INFO", choices=logs.LEVELS)
     options = parser.parse_args(arguments)
     logs.set_up("load", options.log_level)
     scenario = process.load_settings(scenario_lib.Scenario, options.scenario)
-    report = runner.Runner(scenario).run()
+    report = runner.Runner(scenario, options.start_wall_ms).run()
     print(report_lib.as_text(report))
     if options.json:
         pathlib.Path(options.json).write_text(json.dumps(report, indent=1))
--- a/auburnway/load/runner.py
+++ b/auburnway/load/runner.py
@@ -27,8 +27,20 @@
 class Runner:
     """One load run; `run` returns its report."""
 
-    def __init__(self, scenario: scenario_lib.Scenario):
+    def __init__(
+        self,
+        scenario: scenario_lib.Scenario,
+        start_wall_ms: float | None = None,
+    ):
+        """Creates a run.
+
+        Args:
+          scenario: Streams, events and addresses.
+          start_wall_ms: Start of the run, milliseconds since the epoch; as
+            soon as addresses are known when absent or already past.
+        """
         self._scenario = scenario
+        self._wanted_wall_ms = start_wall_ms or 0.0
         self._clock = clock_lib.SystemClock()
         self._loop = process.Loop(self._clock)
         # A caller does not probe its connections.
@@ -70,8 +82,10 @@
         return self._report(before, after)
 
     def _on_ready(self) -> None:
-        self._start_ms = self._clock.now_ms() + LEAD_MS
-        self._start_wall_ms = self._clock.wall_ms()
+        wall_ms = self._clock.wall_ms()
+        lead_ms = max(self._wanted_wall_ms - wall_ms, LEAD_MS)
+        self._start_ms = self._clock.now_ms() + lead_ms
+        self._start_wall_ms = int(wall_ms + lead_ms)
         for event in self._scenario.events:
             self._at(event.at_ms, lambda event=event: self._send_event(event))
         self._advance()
