--- a/auburnway/load/report.py
+++ b/auburnway/load/report.py
@@ -32,7 +32,8 @@
         f"{backend['needed']} needed, extra "
         f"{'-' if extra is None else format(extra, '.2%')}, "
         f"{backend['shed']} shed, {backend['cancelled']} cancelled, "
-        f"{backend['crashes']} crashes",
+        f"{backend['crashes']} crashes, "
+        f"{backend['slot_use_share']:.1%} of slot time used",
         f"truth: {report['truth']['checked']} answers checked, "
         f"faults {report['truth']['faults'] or 'none'}; "
         f"non-repeatable: {report['runs']}",
--- a/auburnway/load/runner.py
+++ b/auburnway/load/runner.py
@@ -248,6 +248,12 @@
 
         names = ("received", "started", "finished", "shed", "cancelled")
         found = {name: total(name) for name in (*names, "expired", "crashes")}
+        found["most_busy_share"] = max(
+            (r["most_busy"] / r["slots"] for r in after.values()), default=0.0
+        )
+        slots = sum(record["slots"] for record in after.values())
+        slot_ms = max(slots * self._scenario.duration_ms, 1.0)
+        found["slot_use_share"] = round(total("busy_ms") / slot_ms, 4)
         found["needed"] = self._needed
         found["extra_share"] = None
         if self._needed and after:
--- a/auburnway/standin/backend.py
+++ b/auburnway/standin/backend.py
@@ -47,6 +47,7 @@
     body: answers.Body
     read: settings.SnapshotSettings
     started: bool = False
+    started_ms: float = 0.0
     deadline: timers_lib.Timer | None = None
     end: timers_lib.Timer | None = None
 
@@ -251,7 +252,7 @@
             self._on_cancel(request)
         elif path == "/v1/record":
             with_ids = "ids=1" in arguments
-            self._reply_data(request, 200, self.record.as_dict(with_ids))
+            self._reply_data(request, 200, self.record_data(with_ids))
         elif path == "/v1/control" and request.method == "POST":
             status, reply, action = self.control(_decode(request.body))
             # The action can close the connection.
@@ -295,6 +296,11 @@
             return 400, {"errors": errors}, _nothing
         return 200, {"name": self.own.name}, actions[action]
 
+    def record_data(self, with_ids: bool) -> dict[str, typing.Any]:
+        """Returns the truthful record, with the slots it refers to."""
+        data = self.record.as_dict(with_ids)
+        return {**data, "slots": self.own.slots}
+
     def _on_run(self, request: http_server.Request) -> None:
         self.record.received += 1
         own = self.own
@@ -345,6 +351,7 @@
 
     def _start_run(self, run: _Run) -> None:
         run.started = True
+        run.started_ms = self._clock.now_ms()
         self._running.add(run)
         self._note_load()
         self.record.started += 1
@@ -406,6 +413,7 @@
             del self._by_id[run.request_id]
         if run in self._running:
             self._running.discard(run)
+            self.record.busy_ms += self._clock.now_ms() - run.started_ms
         elif run in self._waiting:
             self._waiting.remove(run)
         while self._waiting and len(self._running) < self.own.slots:
--- a/auburnway/standin/embedded.py
+++ b/auburnway/standin/embedded.py
@@ -59,4 +59,4 @@
 
     def record(self, name: str, with_ids: bool = False) -> dict:
         """Returns the truthful record of a backend server."""
-        return self.host.backends[name].record.as_dict(with_ids)
+        return self.host.backends[name].record_data(with_ids)
--- a/auburnway/standin/host.py
+++ b/auburnway/standin/host.py
@@ -90,7 +90,7 @@
             status, data = (
                 200,
                 {
-                    name: backend.record.as_dict(with_ids)
+                    name: backend.record_data(with_ids)
                     for name, backend in self.backends.items()
                 },
             )
--- a/auburnway/standin/record.py
+++ b/auburnway/standin/record.py
@@ -24,6 +24,7 @@
       expired: Runs that ended by their deadline.
       failed: Requests answered by the fail-fast mode.
       crashes: Crashes by a poisonous request.
+      busy_ms: Time in use summed over all slots.
       most_busy: Greatest number of slots in use at once.
       runs: Non-repeatable runs as [claim id, key, request id], in order.
       started_ids: Request ids of all runs that took a slot.
@@ -38,6 +39,7 @@
     expired: int = 0
     failed: int = 0
     crashes: int = 0
+    busy_ms: float = 0.0
     most_busy: int = 0
     runs: list[list[str]] = dataclasses.field(default_factory=list)
     started_ids: list[str] = dataclasses.field(default_factory=list)
