--- /dev/null
+++ b/auburnway/admin/main_test.py
@@ -0,0 +1,321 @@
+import dataclasses
+import http.server
+import json
+import threading
+
+import pytest
+from returns import result
+
+from auburnway.admin import entry_status
+from auburnway.admin import main
+from auburnway.admin import operations
+from auburnway.admin import outcome as outcome_lib
+from auburnway.admin import render
+from auburnway.admin import settings as settings_lib
+from auburnway.core import clock as clock_lib
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import errors
+from auburnway.core import note as note_lib
+from auburnway.core import replicated_state as rs
+from auburnway.rpc import control_pb2 as pb
+
+NOTE = """
+number = 1
+author = "kim"
+summary = "first callers"
+[[add.caller]]
+name = "desk"
+share = 2
+"""
+
+
+def pb_errors(found):
+    return [
+        pb.Error(
+            code=e.code, message=e.detail, remedy=e.remedy, source=e.source
+        )
+        for e in found
+    ]
+
+
+class FakeControl:
+    """Control in one process: the replicated state behind its messages."""
+
+    def __init__(self):
+        self.state = rs.EMPTY_STATE
+        self.lost_replies = 0
+        self.is_up = True
+        self.entries = {"e1": 0, "e2": 0}
+        # Entries take up a number only after so many InForce calls.
+        self.lag = 2
+        self.lease_left_ms = 900
+        self.chain_valid = True
+
+    def connect(self, addresses):
+        return self
+
+    def call(self, method, request, timeout_ms):
+        if not self.is_up:
+            return result.Failure(errors.ControlUnavailable("no leader"))
+        reply = getattr(self, method)(request)
+        if self.lost_replies and method == "Apply":
+            self.lost_replies -= 1
+            return result.Failure(errors.ControlUnavailable("no answer"))
+        return result.Success(reply)
+
+    def Apply(self, request):  # noqa: N802
+        command = rs.AcceptNote(request.text, request.author, 1000)
+        index = self.state.index + 1
+        self.state, reply = rs.apply(self.state, index, command)
+        fields = dataclasses.asdict(reply)
+        return pb.ApplyReply(**{**fields, "errors": pb_errors(reply.errors)})
+
+    def Plan(self, request):  # noqa: N802
+        note = note_lib.parse(request.text, "note").unwrap()
+        old = self.state.configuration
+        found = rs.check_note(self.state, note)
+        changes = note_lib.diff(old, note_lib.apply(old, note))
+        return pb.PlanReply(
+            errors=pb_errors(found),
+            changes=[pb.Change(**dataclasses.asdict(c)) for c in changes],
+            number_in_force=old.number,
+        )
+
+    def Read(self, request):  # noqa: N802
+        configuration = self.state.configuration
+        return pb.ReadReply(
+            number=configuration.number,
+            configuration=configuration_lib.encode(configuration),
+        )
+
+    def InForce(self, request):  # noqa: N802
+        number = self.state.configuration.number
+        self.lag -= 1
+        if self.lag <= 0:
+            self.entries = dict.fromkeys(self.entries, number)
+        rows = [
+            pb.EntryState(
+                name=name,
+                data_center="d1",
+                caller_address=f"{name}:80",
+                number=acknowledged,
+                lease_left_ms=self.lease_left_ms,
+            )
+            for name, acknowledged in self.entries.items()
+        ]
+        return pb.InForceReply(number=number, entries=rows)
+
+    def Audit(self, request):  # noqa: N802
+        rows = self.state.audit[request.after_revision :][:2]
+        return pb.AuditReply(
+            rows=[pb.AuditRow(**dataclasses.asdict(row)) for row in rows],
+            chain_valid=self.chain_valid,
+        )
+
+    def Status(self, request):  # noqa: N802
+        return pb.StatusReply(
+            name="c1",
+            role="leader",
+            term=3,
+            has_quorum=True,
+            voters=[pb.VoterState(name="c1", role="voter")],
+        )
+
+
+def fetch(address, timeout_ms):
+    if address == "e2:80":
+        return result.Failure(entry_status.EntryUnreachable("refused", address))
+    row = {"name": "s1", "application": "a", "started_ms": 5, "in_flight": 1}
+    return result.Success({"entry": "e1", "backend_servers": [row]})
+
+
+@pytest.fixture
+def control():
+    return FakeControl()
+
+
+@pytest.fixture
+def operator(control, tmp_path, capsys):
+    """Runs a command line against the fake control."""
+    path = tmp_path / "note.toml"
+    clock = clock_lib.ManualClock()
+
+    def make_context():
+        settings = settings_lib.OperatorSettings(("c1:1",), "token", "kim")
+        return operations.Context(
+            settings, clock, control.connect, fetch, clock.advance
+        )
+
+    def run(*arguments, text=NOTE):
+        path.write_text(text)
+        arguments = [str(path) if a == "FILE" else a for a in arguments]
+        parsed = main.parser().parse_args(arguments)
+        outcome = main.run(parsed, make_context)
+        code = main.show_outcome(outcome, parsed.json)
+        return code, *capsys.readouterr()
+
+    return run
+
+
+def test_apply_says_on_which_instances_the_note_is_in_force(operator):
+    code, out, _ = operator("apply", "FILE")
+    assert code == 0
+    assert "is in force everywhere" in out and "e1" in out and "e2" in out
+
+
+def test_apply_with_a_lost_answer_is_accepted_once(operator, control):
+    # Guards against a resend that is refused, or applied under two numbers.
+    control.lost_replies = 2
+    code, out, _ = operator("apply", "FILE")
+    assert code == 0 and "accepted before" in out
+    assert operator("apply", "FILE")[0] == 0
+    assert len(control.state.audit) == 1
+
+
+def test_apply_without_control_does_not_claim_an_outcome(operator, control):
+    control.is_up = False
+    code, _, err = operator("apply", "FILE", "--wait-ms", "500")
+    assert code == outcome_lib.UNAVAILABLE
+    assert "answer_lost" in err and "Run the same command" in err
+
+
+@pytest.mark.parametrize("lease_left_ms, expected", [(900, 5), (-1, 0)])
+def test_apply_waits_for_entries_that_hold_a_lease(
+    operator, control, lease_left_ms, expected
+):
+    # An entry without a lease serves nothing, so it does not hold a note up.
+    control.lag = 1 << 30
+    control.lease_left_ms = lease_left_ms
+    code, _, err = operator("apply", "FILE", "--wait-ms", "500")
+    assert code == expected
+    assert not expected or "e1, e2" in err
+
+
+def test_the_loser_of_a_race_learns_the_winner(operator):
+    assert operator("apply", "FILE")[0] == 0
+    other = NOTE.replace("share = 2", "share = 3")
+    code, _, err = operator("apply", "FILE", text=other)
+    assert code == outcome_lib.NUMBER_TAKEN
+    assert "accepted from kim" in err and "diff NUMBER" in err
+
+
+def test_refusals_name_all_errors_with_their_remedies(operator, control):
+    bad = NOTE.replace("share = 2", "share = 0\ncolor = 1")
+    for command in ("check", "plan", "apply", "diff"):
+        code, _, err = operator(command, "FILE", text=bad)
+        assert code == outcome_lib.WRONG
+        lines = err.splitlines()
+        assert len(lines) == 2
+        assert all("docs/RELEASE-NOTES.md" in line for line in lines)
+    code, _, err = operator("check", "FILE", text="number = ")
+    assert code == outcome_lib.WRONG and "not TOML" in err
+    code, _, err = operator("check", "absent.toml")
+    assert code == outcome_lib.WRONG and "standard input" in err
+
+
+def test_plan_and_diff_show_the_change_and_apply_nothing(operator, control):
+    for command in ("plan", "diff"):
+        code, out, _ = operator(command, "FILE")
+        assert code == 0 and "add      caller desk  share=2.0" in out
+    assert control.state is rs.EMPTY_STATE
+    operator("apply", "FILE")
+    code, out, _ = operator("--json", "diff", "1")
+    data = json.loads(out)
+    assert data["summary"] == "first callers"
+    assert data["changes"][0]["after"] == "share=2.0"
+    assert operator("diff", "9")[0] == outcome_lib.WRONG
+
+
+def test_drain_undrain_and_withdraw_write_the_next_note(operator, control):
+    operator("apply", "FILE")
+    code, out, _ = operator("drain", "s1")
+    assert code == 0 and "number = 2" in out and "[[add.drain]]" in out
+    assert control.state.configuration.find("drain", "s1")
+    # A repeated drain must not fail, because its answer may have been lost.
+    code, out, _ = operator("drain", "s1")
+    assert code == 0 and "in force already" in out
+    assert operator("undrain", "s1")[0] == 0
+    assert operator("withdraw", "caller", "desk")[0] == 0
+    assert control.state.configuration.number == 4
+    code, _, err = operator("undrain", "s1")
+    assert code == outcome_lib.WRONG and "not_present" in err
+    assert operator("drain", 'a"b\n')[0] == outcome_lib.WRONG
+    assert control.state.configuration.number == 4
+
+
+def test_show_prints_the_items_in_force(operator):
+    operator("apply", "FILE")
+    assert "desk  2" in operator("show")[1]
+    data = json.loads(operator("--json", "show", "rank")[1])
+    assert data["number"] == 1 and data["callers"] == []
+
+
+def test_status_shows_the_rest_when_a_part_is_unreachable(operator, control):
+    code, out, err = operator("status")
+    assert code == outcome_lib.UNAVAILABLE
+    assert "leader" in out and "s1" in out and "e2:80" in err
+    control.is_up = False
+    code, out, err = operator("status")
+    assert code == outcome_lib.UNAVAILABLE
+    assert "unreachable" in out and "restore a majority" in err
+
+
+def test_audit_reads_all_pages_and_finds_a_changed_row(operator, control):
+    operator("apply", "FILE")
+    for name in ("s1", "s2", "s3"):
+        operator("drain", name)
+    code, out, _ = operator("audit", "--verify", "--after", "3")
+    assert code == 0 and "4 rows verified" in out
+    assert "s3" in out and "first callers" not in out
+    rows = control.state.audit
+    rows[2] = dataclasses.replace(rows[2], author="lee")
+    code, _, err = operator("audit", "--verify")
+    assert code == outcome_lib.AUDIT_INVALID and "revision 3" in err
+    assert operator("audit")[0] == 0
+    rows[2] = dataclasses.replace(rows[2], author="kim")
+    control.chain_valid = False
+    assert operator("audit", "--verify")[0] == outcome_lib.AUDIT_INVALID
+
+
+def test_merge_adds_requests_and_keeps_the_newest_row():
+    rows = [
+        {"name": "s", "started_ms": 2, "state": "draining", "in_flight": 1},
+        {"name": "s", "started_ms": 1, "state": "serving", "latency_ms": 4.0},
+    ]
+    expected = {
+        "name": "s",
+        "started_ms": 2,
+        "state": "draining",
+        "in_flight": 1,
+        "latency_ms": 4.0,
+    }
+    pages = [{"backend_servers": [row]} for row in rows]
+    assert entry_status.merge(pages) == [expected]
+    assert entry_status.merge(pages[::-1]) == [expected]
+
+
+def test_terminal_control_characters_are_not_printed():
+    assert "\x1b" not in render.table(["name"], [["\x1b[2J"]])
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("body, ok", [(b'{"a": 1}', 1), (b"[]", 0), (b"", 0)])
+def test_fetch_reads_a_page_or_returns_why_not(body, ok):
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_GET(self):  # noqa: N802
+            self.send_response(200)
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *_):
+            pass
+
+    with http.server.HTTPServer(("127.0.0.1", 0), Handler) as server:
+        thread = threading.Thread(target=server.handle_request)
+        thread.start()
+        address = f"127.0.0.1:{server.server_port}"
+        page = entry_status.fetch(address, 2000)
+        thread.join()
+    assert isinstance(page, result.Success) == bool(ok)
+    # The server is closed now, so that the connection is refused.
+    assert isinstance(entry_status.fetch(address, 2000), result.Failure)
