--- a/auburnway/admin/main.py
+++ b/auburnway/admin/main.py
@@ -179,3 +179,7 @@
     if path == "-":
         return sys.stdin.read()
     return pathlib.Path(path).read_text("utf-8")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/auburnway/core/note_errors.py
+++ b/auburnway/core/note_errors.py
@@ -49,7 +49,7 @@
     """One release note names the same item twice."""
 
     code = "duplicate_name"
-    remedy = "Keep one entry per item and name; `change` replaces both."
+    remedy = "Keep one entry per item and name; one `change` can set all keys."
     http_status = 400
     exit_code = 2
 
--- a/auburnway/core/note_items.py
+++ b/auburnway/core/note_items.py
@@ -48,9 +48,9 @@
         if self.choices:
             return " or ".join(f'"{choice}"' for choice in self.choices)
         if self.refers_to:
-            return f"name of a {self.refers_to} in force"
+            return f"{self.refers_to} in force"
         if self.kind is str:
-            return "1 to 128 of A-Z a-z 0-9 . _ : / -, not first a sign"
+            return "1 to 128 of A-Z a-z 0-9 . _ : / -, first a letter or digit"
         unit = "integer" if self.kind is int else "number"
         return f"{unit} from {self.low:.10g} to {self.high:.10g}"
 
