Pass over unchanged records when comparing configurations

Ruled out: storing no changes in the audit trail, because diff NUMBER reads them there.

Change: diff skips records that are the same object.

--- a/auburnway/core/note.py
+++ b/auburnway/core/note.py
@@ -207,23 +207,30 @@
     """Returns the differences, by item type and name."""
     changes = []
     for item, field in configuration_lib.FIELDS.items():
-        names = {record.name for record in getattr(old, field)}
-        names |= {record.name for record in getattr(new, field)}
+        left = {record.name: record for record in getattr(old, field)}
+        right = {record.name: record for record in getattr(new, field)}
+        # Records that a note leaves alone are the same objects, so that most
+        # are passed over without a comparison of their fields.
+        names = (
+            name
+            for name in left.keys() | right.keys()
+            if left.get(name) is not right.get(name)
+        )
         for name in sorted(names):
-            before, after = old.find(item, name), new.find(item, name)
+            before, after = left.get(name), right.get(name)
             if before == after:
                 continue
             action = "change"
             if before is None or after is None:
                 action = "add" if before is None else "withdraw"
-            left, right = _fields(before), _fields(after)
+            old_values, new_values = _fields(before), _fields(after)
             changes.append(
                 Change(
                     action,
                     item,
                     name,
-                    _pairs(left, right),
-                    _pairs(right, left),
+                    _pairs(old_values, new_values),
+                    _pairs(new_values, old_values),
                 )
             )
     return tuple(changes)
