--- a/auburnway/demo/fleet.py
+++ b/auburnway/demo/fleet.py
@@ -58,12 +58,14 @@
       name: Name of the process.
       command: Its command line.
       address: `ip:port` that it serves.
+      control_address: `ip:port` that changes a stand-in and shows its record.
       process: The running process, or the ended one.
     """
 
     name: str
     command: list[str]
     address: str
+    control_address: str = ""
     process: subprocess.Popen | None = None
 
 
@@ -104,7 +106,7 @@
         site = self.site
         count = sum(a.services * a.backend_servers for a in site.applications)
         ports = iter(
-            free_ports(2 * site.entries + site.control_instances + count)
+            free_ports(2 * site.entries + site.control_instances + 2 * count)
         )
         control = [
             f"127.0.0.1:{next(ports)}" for _ in range(site.control_instances)
@@ -134,10 +136,10 @@
         for application in site.applications:
             for shard in range(application.services):
                 for replica in range(application.backend_servers):
-                    address = f"127.0.0.1:{next(ports)}"
+                    addresses = [f"127.0.0.1:{next(ports)}" for _ in "ab"]
                     self.backend_servers.append(
                         self._lay_out_server(
-                            application, shard, replica, address, callers
+                            application, shard, replica, addresses, callers
                         )
                     )
         self._write(
@@ -177,8 +179,9 @@
         return Member(name, command, address)
 
     def _lay_out_server(
-        self, application, shard: int, replica: int, address: str, callers
+        self, application, shard: int, replica: int, addresses, callers
     ) -> Member:
+        address, control_address = addresses
         name = f"{application.name}-{shard + 1}-{replica + 1}"
         # Each backend server begins with another pair of entries.
         start = (shard * application.backend_servers + replica) % len(callers)
@@ -189,6 +192,7 @@
                 "fleet_token": TOKEN,
                 "seed": self.site.seed,
                 "crash_exits": True,
+                "control_address": control_address,
                 "servers": [
                     {
                         "name": name,
@@ -214,7 +218,7 @@
             },
         )
         command = _daemon("auburnway.standin.main", path)
-        return Member(name, command, address)
+        return Member(name, command, address, control_address)
 
     def _data_center(self, i: int) -> str:
         return self.site.data_centers[i % len(self.site.data_centers)]
--- a/auburnway/demo/main.py
+++ b/auburnway/demo/main.py
@@ -7,14 +7,18 @@
 """
 
 import argparse
+import json
 import pathlib
+import subprocess
 import sys
 import time
 
+import tomli_w
+
 from auburnway.demo import fleet as fleet_lib
-from auburnway.demo import load as load_lib
 from auburnway.demo import site as site_lib
 from auburnway.kernel import process
+from auburnway.load import report as report_lib
 from auburnway.standin import catalogue
 
 SNAPSHOT = 1
@@ -172,16 +176,73 @@
             fleet.entries[-1],
             self._leader(),
         ]
-        load = load_lib.Load(fleet, self._expected)
-        load.start()
+        report_path = fleet.folder / "report.json"
+        load = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "auburnway.load.main",
+                str(self._write_scenario()),
+                "--json",
+                str(report_path),
+            ],
+            stdout=subprocess.DEVNULL,
+        )
         for victim in victims:
             time.sleep(self._site.load_ms / 1000.0 / (len(victims) + 1))
             fleet.kill(victim)
             self._say(f"killed {victim.name} under load")
-        summary = load.finish()
-        self._say(f"load: {summary.text()}")
-        self._check(summary.untrue == 0, f"{summary.untrue} untrue answers")
-        self._check(summary.done > 0, "the load was answered")
+        load.wait()
+        report = json.loads(report_path.read_text())
+        self._say("load report:")
+        print(_indent(report_lib.as_text(report)))
+        faults = report_lib.fault_count(report)
+        self._check(faults == 0, f"{faults} untrue answers")
+
+    def _write_scenario(self) -> pathlib.Path:
+        site, fleet = self._site, self._fleet
+        streams = [
+            {
+                "caller": query.caller,
+                "kind": query.kind,
+                "rank": query.rank,
+                "rate": query.rate,
+                "query": {f.split("=")[0]: "*" for f in query.fields},
+                "repeatable": query.repeatable,
+                "fan_out": query.repeatable,
+            }
+            for query in site.queries
+        ]
+        truth = [
+            {
+                "kinds": [
+                    q.kind
+                    for q in site.queries
+                    if q.application == application.name
+                ],
+                "catalogue": application.catalogue,
+                "records": application.records,
+                "seed": site.seed,
+                "partitions": [
+                    {"snapshot": SNAPSHOT, "shard_count": application.services}
+                ],
+            }
+            for application in site.applications
+        ]
+        scenario = {
+            "name": f"{site.name} with kills",
+            "entries": [member.address for member in fleet.entries],
+            "standin_controls": [
+                member.control_address for member in fleet.backend_servers
+            ],
+            "duration_ms": site.load_ms,
+            "seed": site.seed,
+            "streams": streams,
+            "truth": truth,
+        }
+        path = fleet.folder / "scenario.toml"
+        path.write_text(tomli_w.dumps(scenario))
+        return path
 
     def _leader(self) -> fleet_lib.Member:
         done = self._fleet.operator("--json", "status")
--- a/auburnway/demo/site.py
+++ b/auburnway/demo/site.py
@@ -31,9 +31,11 @@
     caller: str = settings.setting("Caller.")
     kind: str = settings.setting("Kind of request.")
     application: str = settings.setting("Application that runs it.")
+    rank: str = settings.setting("Rank that the kind is admitted under.")
     fields: tuple[str, ...] = settings.setting(
         "Values to look for, as `name=value`.", ()
     )
+    rate: float = settings.setting("Requests a second under load.", 10.0)
     repeatable: bool = settings.setting("False to send a key.", True)
 
 
@@ -52,5 +54,4 @@
     )
     queries: tuple[Query, ...] = settings.setting("Requests to send.", ())
     load_ms: float = settings.setting("Length of the load, ms.", 12_000.0)
-    load_rate: float = settings.setting("Requests a second.", 40.0)
     seed: int = settings.setting("Seed of records and load.", 1)
