Keep threads for consensus and guard callers' functions

Cause: calls that wait for a commit could hold all gRPC threads, so that the messages which would commit them had to wait; a fault in one call's callback ended the process; the client asked a silent instance first each time. Ruled out: a second port for consensus; it would be one more setting. Change: at most 128 of 160 threads serve calls, the rest is refused as not executed; callbacks are guarded; a failed instance is asked last.

--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -84,7 +84,7 @@
             random.Random(identity.incarnation),
         )
         self._restore(store.log.snapshot)
-        self._role = self.raft.role
+        self._role = (self.raft.role, 0)
         self._posted: collections.deque[abc.Callable] = collections.deque()
         self._is_woken = False
         self._is_stopped = False
@@ -200,7 +200,7 @@
         # Cleared first, so that a later post fires another event.
         self._is_woken = False
         while self._posted:
-            self._posted.popleft()()
+            _guarded(self._posted.popleft())
         self._flush()
 
     def _tick(self):
@@ -251,10 +251,14 @@
             if chosen:
                 outputs.append(raft.read_index(self._number(chosen), at_once))
         self._store.write(outputs)
+        # A new leader's bookkeeping is needed by its first callbacks; a
+        # former leader first answers what is committed.
+        if self.is_leader:
+            self._follow_role()
         for output in outputs:
             self._act(output)
         for on_reply in refused:
-            on_reply(result.Failure(self.not_leader()))
+            _guarded(on_reply, result.Failure(self.not_leader()))
         self._follow_role()
         self._compact_if_due()
 
@@ -280,10 +284,12 @@
         # A confirmed index is never past the commit index, and all committed
         # entries up to here are applied.
         for read in output.reads:
-            self._pending_reads.pop(read.context)(result.Success(None))
+            _guarded(
+                self._pending_reads.pop(read.context), result.Success(None)
+            )
         for context in output.failed_reads:
             on_ready = self._pending_reads.pop(context)
-            on_ready(result.Failure(self.not_leader()))
+            _guarded(on_ready, result.Failure(self.not_leader()))
 
     def _apply(self, entry: records.Entry) -> None:
         self.applied_index = entry.index
@@ -299,10 +305,10 @@
         if on_reply is None:
             return
         if term == entry.term:
-            on_reply(result.Success(reply))
+            _guarded(on_reply, result.Success(reply))
         else:
             # Another leader's entry took the index, so ours is lost.
-            on_reply(result.Failure(self.not_leader()))
+            _guarded(on_reply, result.Failure(self.not_leader()))
 
     def _log_members(self, members):
         loguru.logger.bind(
@@ -318,23 +324,21 @@
 
     def _follow_role(self) -> None:
         """Notices a change of role."""
-        if self.raft.role is self._role:
+        role = (self.raft.role, self.raft.term if self.is_leader else 0)
+        if role == self._role:
             return
-        self._role = self.raft.role
-        loguru.logger.bind(role=self._role.value, term=self.raft.term).info(
+        self._role = role
+        loguru.logger.bind(role=self.raft.role.value, term=self.raft.term).info(
             "role changed"
         )
         if not self.is_leader:
             pending, self._pending = self._pending, {}
             for _, on_reply in pending.values():
-                on_reply(
-                    result.Failure(
-                        control_errors.OutcomeUncertain(
-                            "leadership was lost before the commit",
-                            self.identity.name,
-                        )
-                    )
+                error = control_errors.OutcomeUncertain(
+                    "leadership was lost before the commit",
+                    self.identity.name,
                 )
+                _guarded(on_reply, result.Failure(error))
         self.on_role()
 
     def _compact_if_due(self) -> None:
@@ -370,3 +374,11 @@
     def _close_links(self) -> None:
         for link in self._links.values():
             link.close()
+
+
+def _guarded(call: abc.Callable, *arguments) -> None:
+    """Runs a caller's function; its fault must not end the process."""
+    try:
+        call(*arguments)
+    except Exception:
+        loguru.logger.exception("unexpected exception in a control call")
--- a/auburnway/control/service.py
+++ b/auburnway/control/service.py
@@ -18,9 +18,11 @@
 from auburnway.rpc import control_pb2 as pb
 from auburnway.rpc import control_pb2_grpc as pb_grpc
 
-# A renewal holds a thread for up to 400 ms, so there are more threads than
-# entries.
-THREADS = 64
+# A call holds a thread until it is answered, a renewal for up to 400 ms.
+THREADS = 160
+# The other threads are left to messages between control instances. Without
+# them, calls that wait for a commit would hold up the commit.
+MAX_CALLS = 128
 # Longest wait of a handler whose caller set no deadline.
 MAX_WAIT_S = 5.0
 
@@ -32,6 +34,7 @@
         self._node = node
         self._lock = threading.Lock()
         self._waiting: set[futures.Future] = set()
+        self._room = threading.BoundedSemaphore(MAX_CALLS)
         self._is_closed = False
 
     def run(self, operation, request, context: grpc.ServicerContext):
@@ -42,6 +45,17 @@
           request: Its request.
           context: Context of the call; aborted without a reply in time.
         """
+        if not self._room.acquire(blocking=False):
+            context.abort(
+                grpc.StatusCode.RESOURCE_EXHAUSTED,
+                f"more than {MAX_CALLS} calls wait",
+            )
+        try:
+            return self._run(operation, request, context)
+        finally:
+            self._room.release()
+
+    def _run(self, operation, request, context):
         future: futures.Future = futures.Future()
         with self._lock:
             if self._is_closed:
--- a/auburnway/rpc/control_client.py
+++ b/auburnway/rpc/control_client.py
@@ -54,7 +54,8 @@
     ):
         self.clock = clock
         self.metadata = channels.metadata(token)
-        self._addresses = tuple(addresses)
+        # Instances that failed last are asked last.
+        self._addresses = list(addresses)
         self._lock = threading.Lock()
         self._leader = ""
         self._links: dict[str, _Link] = {}
@@ -119,9 +120,9 @@
         with self._lock:
             if self._leader and self._leader not in tried:
                 return self._leader
-        for address in self._addresses:
-            if address not in tried:
-                return address
+            for address in self._addresses:
+                if address not in tried:
+                    return address
         return ""
 
     def note_leader(self, address: str) -> None:
@@ -135,6 +136,18 @@
             if self._leader == address:
                 self._leader = ""
 
+    def note_failure(self, address: str) -> None:
+        """Asks an instance that did not answer after the others.
+
+        Otherwise a silent instance would be the first one asked by each call
+        that must not be sent twice, and all of them would fail.
+        """
+        self.forget_leader(address)
+        with self._lock:
+            if address in self._addresses:
+                self._addresses.remove(address)
+                self._addresses.append(address)
+
     def take_link(self, address: str) -> "_Link | None":
         """Returns a link for one attempt; None after `close`."""
         with self._lock:
@@ -241,14 +254,17 @@
         if code is grpc.StatusCode.OK:
             self._on_reply(link, call.result())
             return
-        self._client.forget_leader(link.address)
+        self._client.note_failure(link.address)
         if code is grpc.StatusCode.UNAUTHENTICATED:
             self._error = control_errors.BadToken(call.details(), link.address)
             self._fail()
             return
-        if code is grpc.StatusCode.UNAVAILABLE and (
+        never_sent = code is grpc.StatusCode.UNAVAILABLE and (
             _NEVER_CONNECTED in (call.details() or "")
-        ):
+        )
+        # The service refuses a call with this code before it acts on it.
+        is_refused = code is grpc.StatusCode.RESOURCE_EXHAUSTED
+        if never_sent or is_refused:
             self.attempt()
             return
         self._on_uncertain(f"{code.name}: {call.details()}", link.address)
