Restart the decay of a server that never replies, and test the policies

Cause: a server that never replies received 11% of the sub-requests. Giving one up after a time equal to the estimate left the time of the last sample as it was, so the estimate went on decaying through each try.

Ruled out: a longer half-life, which would delay the return of a server that recovered.

Change: a sub-request that is given up restarts the decay, and sets the estimate to the greater of the time waited and the decayed estimate.

--- a/auburnway/policy/replica_choice.py
+++ b/auburnway/policy/replica_choice.py
@@ -70,7 +70,14 @@
             self.estimate_ms += weight * (value_ms - self.estimate_ms)
         self.sampled_ms = now_ms
 
-    def expected_ms(self, slots: int, now_ms: float, unknown_ms: float):
+    def decayed_ms(self, now_ms: float) -> float:
+        """Returns the estimate as it has decayed since the last sample."""
+        idle_ms = now_ms - self.sampled_ms
+        return self.estimate_ms * 0.5 ** (idle_ms / DECAY_HALF_LIFE_MS)
+
+    def expected_ms(
+        self, slots: int, now_ms: float, unknown_ms: float
+    ) -> float:
         """Returns the expected time of one more sub-request."""
         estimate_ms = self.estimate_ms
         if estimate_ms < 0.0:
@@ -79,10 +86,9 @@
         if not starts:
             # The estimate decays only while nothing is in flight, so that a
             # slow server is tried with one sub-request at a time.
-            idle_ms = now_ms - self.sampled_ms
-            if self.estimate_ms < 0.0 or idle_ms < 100.0:
+            if self.estimate_ms < 0.0 or now_ms - self.sampled_ms < 100.0:
                 return estimate_ms
-            return estimate_ms * 0.5 ** (idle_ms / DECAY_HALF_LIFE_MS)
+            return self.decayed_ms(now_ms)
         # A sub-request that is late already counts as if it ended now.
         late_ms = now_ms - starts[0] - estimate_ms
         if late_ms > 0.0:
@@ -196,6 +202,11 @@
         elapsed_ms = now_ms - server.starts.pop(0)
         if elapsed_ms > server.estimate_ms:
             server.sample(elapsed_ms, now_ms, ERROR_WEIGHT)
+            return
+        # The decay starts again from here; without that, a server that never
+        # replies would look faster with every try.
+        server.estimate_ms = max(elapsed_ms, server.decayed_ms(now_ms))
+        server.sampled_ms = now_ms
 
     def shed(self, name: str, now_ms: float) -> None:
         """Notes that a backend server refused before starting."""
--- /dev/null
+++ b/auburnway/policy/retry_budget_test.py
@@ -0,0 +1,47 @@
+"""Tests of the budget for hedges and retries."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from auburnway.policy import retry_budget
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["earn", "spend", "queueing", "calm"]),
+        st.integers(1, 300),
+    ),
+    max_size=40,
+)
+
+
+@hypothesis.given(STEPS)
+def test_extra_load_stays_under_its_share(steps):
+    # Guards against extra load above 5%, in total and in any burst, and
+    # against any refill while admission queues.
+    budget = retry_budget.Budget(0.05, 10.0)
+    earned = spent = 0.0
+    is_queueing = False
+    for step, count in steps:
+        spent_in_burst = 0
+        for _ in range(count):
+            if step == "earn":
+                budget.on_sub_request()
+                earned += 0.0 if is_queueing else 0.05
+            elif step == "spend":
+                spent_in_burst += budget.try_spend(0.0)
+        if step in ("queueing", "calm"):
+            is_queueing = step == "queueing"
+            budget.set_overloaded(is_queueing)
+        spent += spent_in_burst
+        assert spent_in_burst <= 10
+        assert spent <= earned + 1e-6
+
+
+def test_the_whole_share_can_be_spent():
+    # Guards against a budget that gives less than it promises.
+    budget = retry_budget.Budget(0.05, 10.0)
+    spent = 0
+    for _ in range(10_000):
+        budget.on_sub_request()
+        spent += budget.try_spend(0.0)
+    assert spent == 500
