Watch backend sockets with one epoll inside the circuits poller

Cause: each readable backend socket cost a circuits event, 10 of the 34 events of a query over 10 shards, and each new connection two scans of the poller's descriptor lists. Ruled out: a selector thread beside the loop; two hops of 0.2 ms a query. Change: the pool's own epoll is one descriptor on the circuits poller.

--- a/auburnway/net/http_client.py
+++ b/auburnway/net/http_client.py
@@ -1,8 +1,10 @@
 """Kept HTTP/1.1 connections to backend servers, on the circuits poller.
 
 A query costs one exchange per shard, so the cost of an exchange decides how
-many queries a core serves. One circuits event is fired per readable socket;
-receiving, parsing (httptools) and completing the exchange happen inside it.
+many queries a core serves. The pool watches its sockets with an epoll of its
+own, which is itself one descriptor on the circuits poller: one circuits event
+covers all sockets that are ready, and receiving, parsing (httptools) and
+completing the exchanges happen inside it.
 
 A connection carries one exchange at a time and the reply is bound to it. An
 exchange that was abandoned keeps its connection out of use until the late
@@ -15,6 +17,7 @@
 import dataclasses
 import enum
 import errno
+import select
 import socket
 
 import circuits
@@ -189,10 +192,10 @@
             return
         if count < len(data):
             self._unsent = data[count:]
-            self.pool.poller.addWriter(self.pool, self.sock)
+            self.pool.watch(self, select.EPOLLIN | select.EPOLLOUT)
 
     def writable(self) -> None:
-        self.pool.poller.removeWriter(self.sock)
+        self.pool.watch(self, select.EPOLLIN)
         data, self._unsent = self._unsent, b""
         if data:
             self.write(data)
@@ -306,11 +309,13 @@
         pings: bool = True,
     ):
         super().__init__(channel=channel)
-        self.poller = poller
         self.timers = timers
         self.clock = clock
         self._servers: dict[str, _Server] = {}
-        self._by_socket: dict[socket.socket, _Connection] = {}
+        self._by_descriptor: dict[int, _Connection] = {}
+        self._epoll = select.epoll()
+        self._poller = poller
+        poller.addReader(self, self._epoll)
         self._ping_timer: timers_lib.Timer | None = None
         if pings:
             self._ping_timer = timers.every(PING_PERIOD_MS, self._ping_idle)
@@ -397,11 +402,17 @@
         """Closes every connection."""
         if self._ping_timer is not None:
             self._ping_timer.cancel()
-        for connection in tuple(self._by_socket.values()):
+        for connection in tuple(self._by_descriptor.values()):
             connection.close(Failure.CONNECTION_LOST)
+        self._poller.discard(self._epoll)
+        self._epoll.close()
 
     # Called by connections.
 
+    def watch(self, connection: _Connection, mask: int) -> None:
+        """Changes what a connection waits for, as an epoll mask."""
+        self._epoll.modify(connection.sock, mask)
+
     def release(self, connection: _Connection) -> None:
         """Takes back a connection whose exchange has ended."""
         server = self._servers[connection.address]
@@ -412,8 +423,8 @@
 
     def forget(self, connection: _Connection) -> None:
         """Drops a connection that is about to be closed."""
-        self._by_socket.pop(connection.sock, None)
-        self.poller.discard(connection.sock)
+        if self._by_descriptor.pop(connection.sock.fileno(), None):
+            self._epoll.unregister(connection.sock)
         server = self._servers.get(connection.address)
         if server is None:
             return
@@ -448,14 +459,14 @@
             connection.sock.close()
             return None
         server.all.add(connection)
-        self._by_socket[connection.sock] = connection
+        self._by_descriptor[connection.sock.fileno()] = connection
+        self._epoll.register(connection.sock, select.EPOLLOUT)
         if exchange is not None:
             connection.start(exchange)
         connection.timer = self.timers.after(
             CONNECT_TIMEOUT_MS,
             lambda: connection.close(Failure.CONNECT_FAILED),
         )
-        self.poller.addWriter(self, connection.sock)
         return connection
 
     def _ping_idle(self) -> None:
@@ -471,28 +482,28 @@
                 connection.ping()
 
     @core.handler("_read")
-    def _on_read(self, sock):
-        connection = self._by_socket.get(sock)
-        if connection is not None:
-            connection.readable()
-
-    @core.handler("_write")
-    def _on_write(self, sock):
-        connection = self._by_socket.get(sock)
-        if connection is None:
-            return
-        if connection.state is not _State.CONNECTING:
-            connection.writable()
-            return
-        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+    def _on_read(self, _):
+        for descriptor, mask in self._epoll.poll(0):
+            # An earlier connection of this batch may have closed this one.
+            connection = self._by_descriptor.get(descriptor)
+            if connection is None:
+                continue
+            if connection.state is _State.CONNECTING:
+                self._on_connect_end(connection)
+                continue
+            if mask & select.EPOLLOUT:
+                connection.writable()
+            if mask & ~select.EPOLLOUT:
+                connection.readable()
+
+    def _on_connect_end(self, connection: _Connection) -> None:
+        if connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             connection.close(Failure.CONNECT_FAILED)
             return
-        self.poller.removeWriter(sock)
-        self.poller.addReader(self, sock)
+        try:
+            connection.sock.getpeername()
+        except OSError:
+            # The event was for a closed socket with the same descriptor.
+            return
+        self.watch(connection, select.EPOLLIN)
         connection.established()
-
-    @core.handler("_disconnect", "_error")
-    def _on_disconnect(self, sock, *_):
-        connection = self._by_socket.get(sock)
-        if connection is not None:
-            connection.close(Failure.CONNECTION_LOST)
