--- a/auburnway/control/main.py
+++ b/auburnway/control/main.py
@@ -31,6 +31,10 @@
 
 LOCK_FILE = "lock"
 JOIN_DEADLINE_S = 1.0
+# After each sync the loop competes with the gRPC threads for the interpreter.
+# With Python's default of 5 ms per thread, 30 calls could hold it up for
+# 150 ms.
+THREAD_SWITCH_S = 0.0005
 STATUS_DEADLINE_MS = 1000.0
 
 
@@ -238,6 +242,7 @@
     loop.stack.callback(lambda: server.stop(None).wait())
     loop.stack.callback(calls.close)
     loop.on_stop = node.leave
+    sys.setswitchinterval(THREAD_SWITCH_S)
     loguru.logger.bind(
         address=settings.address, incarnation=identity.incarnation
     ).info("control instance runs")
--- a/auburnway/control/main_test.py
+++ b/auburnway/control/main_test.py
@@ -224,7 +224,7 @@
         assert second.returncode == 3
         group.processes["c0"].kill()
         group.processes["c0"].wait()
-    path = group.path / "c0" / wal_lib.FILE
+    path = group.path / "c0" / f"{wal_lib.PREFIX}1"
     data = bytearray(path.read_bytes())
     data[data.index(frames.MAGIC, 1) + 40] ^= 1
     path.write_bytes(data)
--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections import abc
+from concurrent import futures
 import random
 
 import circuits
@@ -27,6 +28,8 @@
 TICK_MS = 25.0
 # An instance without members asks one other instance to let it join.
 JOIN_PERIOD_MS = 500.0
+# Half of the least election timeout.
+SLOW_SYNC_MS = 250.0
 # Bounds the replay after a restart.
 SNAPSHOT_ENTRIES = 1000
 
@@ -97,6 +100,10 @@
         self._pending_reads: dict[int, OnReply] = {}
         # Confirmed reads that wait for the state to reach their index.
         self._next_read = 0
+        # Index, state and job of the snapshot that is being saved.
+        self._compaction: tuple[int, bytes, futures.Future] | None = None
+        self._executor = futures.ThreadPoolExecutor(1, "snapshot")
+        loop.stack.callback(self._executor.shutdown)
         self._links: dict[str, peer_link.PeerLink] = {}
         self._addresses: dict[str, str] = {}
         loop.timers.every(TICK_MS, self._tick)
@@ -212,6 +219,7 @@
         if self._is_stopped:
             return
         try:
+            self._end_compaction()
             while (
                 self._proposals or self._reads or self._received or self._steps
             ):
@@ -250,7 +258,13 @@
             chosen = [on_ready for now, on_ready in reads if now is at_once]
             if chosen:
                 outputs.append(raft.read_index(self._number(chosen), at_once))
+        started_ms = self._loop.clock.now_ms()
         self._store.write(outputs)
+        sync_ms = self._loop.clock.now_ms() - started_ms
+        if sync_ms > SLOW_SYNC_MS:
+            loguru.logger.bind(duration_ms=int(sync_ms)).warning(
+                "the disk is slow to sync; an election may follow"
+            )
         # A new leader's bookkeeping is needed by its first callbacks; a
         # former leader first answers what is committed.
         if self.is_leader:
@@ -343,9 +357,25 @@
 
     def _compact_if_due(self) -> None:
         index = self.applied_index
-        if index - self._store.log.snapshot.index >= SNAPSHOT_ENTRIES:
-            data = state_lib.encode_state(self.state)
-            self._store.compact(self.raft.compact(index, data))
+        covered = index - self._store.log.snapshot.index
+        if covered < SNAPSHOT_ENTRIES or self._compaction is not None:
+            return
+        data = state_lib.encode_state(self.state)
+        job = self._store.begin_compaction(index, data, self._executor)
+        self._compaction = (index, data, job)
+        job.add_done_callback(lambda _: self.post(lambda: None))
+
+    def _end_compaction(self) -> None:
+        if self._compaction is None or not self._compaction[2].done():
+            return
+        index, data, job = self._compaction
+        self._compaction = None
+        # Raises what the other thread met.
+        job.result()
+        # A snapshot of the leader may have come meanwhile.
+        if index > self._store.log.snapshot.index:
+            self.raft.compact(index, data)
+            self._store.end_compaction(self._executor)
             loguru.logger.bind(index=index, size_bytes=len(data)).info(
                 "saved a snapshot"
             )
--- a/auburnway/control/store.py
+++ b/auburnway/control/store.py
@@ -6,6 +6,7 @@
 until the leader has caught it up.
 """
 
+from concurrent import futures
 import dataclasses
 import secrets
 
@@ -55,12 +56,14 @@
                 disk_lib.CorruptFile("bad checksum", IDENTITY_FILE)
             )
         return Identity(*found[1])
-    if disk.read(wal_lib.FILE) is not None:
-        content = wal_lib.Wal(disk).load()
-        if content.entries or content.hard_state.term:
+    for number in wal_lib.files(disk):
+        # An interrupted `create` leaves at most one frame without entries.
+        data = disk.read(f"{wal_lib.PREFIX}{number}")
+        if number > 1 or len(data) > wal_lib.EMPTY_BYTES:
             raise disk_lib.DiskFault(
                 disk_lib.CorruptFile("absent beside a log", IDENTITY_FILE)
             )
+        disk.remove(f"{wal_lib.PREFIX}{number}")
     return None
 
 
@@ -93,6 +96,7 @@
     def __init__(self, disk: disk_lib.Disk):
         self._disk = disk
         self._wal = wal_lib.Wal(disk)
+        self._job: futures.Future | None = None
         content = self._wal.load()
         self.cut_bytes = content.cut_bytes
         self.hard_state = content.hard_state
@@ -100,7 +104,7 @@
             self.log = raft_log.Log(snapshots.load(disk), content.entries)
         except ValueError as error:
             raise disk_lib.DiskFault(
-                disk_lib.CorruptFile(str(error), wal_lib.FILE)
+                disk_lib.CorruptFile(str(error), self._wal.file)
             ) from error
 
     @property
@@ -129,7 +133,48 @@
             self._wal.append(hard_state, entries)
 
     def compact(self, snapshot: records.Snapshot) -> None:
-        """Saves a snapshot and drops the log that it covers."""
+        """Saves a snapshot and drops the log that it covers, at once."""
+        self._end_job()
         snapshots.save(self._disk, snapshot)
         entries = self.log.between(snapshot.index + 1, self.log.last_index)
         self._wal.compact(self.hard_state, entries)
+
+    def begin_compaction(
+        self, index: int, data: bytes, executor: futures.Executor
+    ) -> futures.Future:
+        """Saves a snapshot of an applied index on another thread.
+
+        On common file systems the replacement of a file takes long enough to
+        cost a leader its leadership.
+
+        Returns:
+          Future of the work; `end_compaction` follows it.
+        """
+        term, members = self.log.term(index), self.log.members_at(index)
+        snapshot = records.Snapshot(index, term, members, data)
+        next_file = self._wal.next_file
+
+        def work():
+            snapshots.save(self._disk, snapshot)
+            self._disk.create(next_file)
+
+        self._job = executor.submit(work)
+        return self._job
+
+    def end_compaction(self, executor: futures.Executor) -> None:
+        """Goes on in a new log file, after the log in memory was compacted.
+
+        Raises:
+          DiskFault: The snapshot or the new file could not be written.
+        """
+        self._end_job()
+        first = self.log.snapshot.index + 1
+        entries = self.log.between(first, self.log.last_index)
+        old_file = self._wal.switch(self.hard_state, entries)
+        executor.submit(self._disk.remove, old_file)
+
+    def _end_job(self):
+        """Waits, so that an older snapshot never replaces a newer one."""
+        if self._job is not None:
+            self._job.result()
+            self._job = None
--- a/auburnway/storage/disk.py
+++ b/auburnway/storage/disk.py
@@ -59,11 +59,17 @@
     def read(self, name: str) -> bytes | None:
         """Returns the content of a file, or None when it is absent."""
 
+    def create(self, name: str) -> None:
+        """Creates an empty file, durably; an existing one is emptied."""
+
     def append(self, name: str, data: bytes) -> None:
-        """Adds bytes to the end of a file; not durable before `sync`."""
+        """Adds bytes to the end of an existing file.
+
+        They are not durable before `sync`.
+        """
 
     def sync(self, name: str) -> None:
-        """Makes all appended bytes, and the file's name, durable."""
+        """Makes all appended bytes durable."""
 
     def truncate(self, name: str, size: int) -> None:
         """Cuts a file to `size` bytes, durably."""
@@ -81,6 +87,8 @@
 class FolderDisk:
     """Real files in one folder.
 
+    Two threads may use it at the same time for different files.
+
     Args:
       folder: Existing folder, owned by this process alone.
     """
@@ -97,17 +105,26 @@
             except FileNotFoundError:
                 return None
 
+    def create(self, name: str) -> None:
+        """Creates an empty file, durably; an existing one is emptied."""
+        self._close(name)
+        with self._faults(name):
+            flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+            descriptor = os.open(self._folder / name, flags, 0o600)
+            with _closing(descriptor):
+                os.fsync(descriptor)
+            self._sync_folder()
+
     def append(self, name: str, data: bytes) -> None:
-        """Adds bytes to the end of a file; not durable before `sync`."""
+        """Adds bytes to the end of an existing file."""
         with self._faults(name):
             if name not in self._open:
-                flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
-                self._open[name] = os.open(self._folder / name, flags, 0o600)
-                self._sync_folder()
+                flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
+                self._open[name] = os.open(self._folder / name, flags)
             _write_all(self._open[name], data)
 
     def sync(self, name: str) -> None:
-        """Makes all appended bytes, and the file's name, durable."""
+        """Makes all appended bytes durable."""
         with self._faults(name):
             os.fsync(self._open[name])
 
@@ -208,6 +225,13 @@
             return None
         return self._synced.get(name, b"") + self._pending.get(name, b"")
 
+    def create(self, name: str) -> None:
+        """Creates an empty file, durably; an existing one is emptied."""
+        if self._fails_now():
+            raise DiskFault(DiskError("sync failed", name))
+        self._pending.pop(name, None)
+        self._synced[name] = b""
+
     def append(self, name: str, data: bytes) -> None:
         """Adds bytes that a crash drops until `sync`."""
         room = self.capacity_bytes - self._used_bytes()
--- a/auburnway/storage/wal.py
+++ b/auburnway/storage/wal.py
@@ -7,6 +7,10 @@
 
 An entry whose index is not past the last one replaces that entry and all
 later ones; this is how a truncation is recorded.
+
+The log is one file. A compaction starts the next file with a frame that holds
+all that is still needed, and the old file is removed only afterwards. While
+the first frame of the newest file is incomplete, the file before it counts.
 """
 
 from collections import abc
@@ -16,7 +20,7 @@
 from auburnway.storage import disk as disk_lib
 from auburnway.storage import frames
 
-FILE = "log"
+PREFIX = "log."
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,9 +47,20 @@
 
     def __init__(self, disk: disk_lib.Disk):
         self._disk = disk
+        self._number = 0
         self._sequence = 0
         self.size_bytes = 0
 
+    @property
+    def file(self) -> str:
+        """Name of the file in use."""
+        return f"{PREFIX}{self._number}"
+
+    @property
+    def next_file(self) -> str:
+        """Name of the file that the next compaction starts."""
+        return f"{PREFIX}{self._number + 1}"
+
     def create(self) -> None:
         """Writes an empty log.
 
@@ -60,27 +75,25 @@
         Raises:
           DiskFault: The log is absent, or a frame before the last is bad.
         """
-        data = self._disk.read(FILE)
-        if data is None:
-            raise disk_lib.DiskFault(disk_lib.CorruptFile("absent", FILE))
-        hard_state, entries, offset = records.HardState(), [], 0
-        while offset < len(data):
-            found = frames.decode(data, offset)
-            if found is None or found[0] != self._sequence:
+        numbers = files(self._disk)
+        if not numbers:
+            raise disk_lib.DiskFault(disk_lib.CorruptFile("absent", PREFIX))
+        for number in reversed(numbers):
+            self._number, self._sequence = number, 0
+            data = self._disk.read(self.file)
+            hard_state, entries, offset = self._replay(data)
+            if offset:
                 break
-            _, payload, offset = found
-            self._sequence += 1
-            hard_state = _replay(payload, hard_state, entries)
+            if number == numbers[0] or frames.has_frame_after(data, 0, 0):
+                raise self._corrupt(0)
         cut_bytes = len(data) - offset
         if cut_bytes:
-            # Frame 0 is written by an atomic replace, so it is never torn.
-            acknowledged = self._sequence == 0 or frames.has_frame_after(
-                data, offset, self._sequence
-            )
-            if acknowledged:
-                detail = f"bad record {self._sequence} at byte {offset}"
-                raise disk_lib.DiskFault(disk_lib.CorruptFile(detail, FILE))
-            self._disk.truncate(FILE, offset)
+            if frames.has_frame_after(data, offset, self._sequence):
+                raise self._corrupt(offset)
+            self._disk.truncate(self.file, offset)
+        for number in numbers:
+            if number != self._number:
+                self._disk.remove(f"{PREFIX}{number}")
         self.size_bytes = offset
         return Content(hard_state, tuple(entries), cut_bytes)
 
@@ -96,25 +109,74 @@
             any more.
         """
         frame = frames.encode(self._sequence, _payload(hard_state, entries))
-        self._disk.append(FILE, frame)
-        self._disk.sync(FILE)
+        self._disk.append(self.file, frame)
+        self._disk.sync(self.file)
         self._sequence += 1
         self.size_bytes += len(frame)
 
+    def switch(
+        self,
+        hard_state: records.HardState,
+        entries: abc.Sequence[records.Entry],
+    ) -> str:
+        """Goes on in `next_file`, which exists and is empty.
+
+        It costs one sync of one file. To create the file takes far longer on
+        common file systems, so that is done beforehand by another thread.
+
+        Args:
+          hard_state: Current term and vote.
+          entries: All entries that the snapshot does not cover.
+
+        Returns:
+          Name of the old file, which may now be removed.
+
+        Raises:
+          DiskFault: The write or the sync failed.
+        """
+        old = self.file
+        self._number, self._sequence, self.size_bytes = self._number + 1, 0, 0
+        self.append(hard_state, entries)
+        return old
+
     def compact(
         self,
         hard_state: records.HardState,
         entries: abc.Sequence[records.Entry],
     ) -> None:
-        """Replaces the log by one frame, after a snapshot was saved.
+        """Goes on in a new file and removes the old one, at once.
 
         Raises:
-          DiskFault: The write failed; the old log is still in place.
+          DiskFault: The write or the sync failed.
         """
-        frame = frames.encode(0, _payload(hard_state, entries))
-        self._disk.replace(FILE, frame)
-        self._sequence = 1
-        self.size_bytes = len(frame)
+        self._disk.create(self.next_file)
+        self._disk.remove(self.switch(hard_state, entries))
+
+    def _replay(self, data):
+        """Returns hard state, entries and end of the valid frames."""
+        hard_state, entries, offset = records.HardState(), [], 0
+        while offset < len(data):
+            found = frames.decode(data, offset)
+            if found is None or found[0] != self._sequence:
+                break
+            _, payload, offset = found
+            self._sequence += 1
+            hard_state = _replay(payload, hard_state, entries)
+        return hard_state, entries, offset
+
+    def _corrupt(self, offset):
+        detail = f"bad record {self._sequence} at byte {offset}"
+        return disk_lib.DiskFault(disk_lib.CorruptFile(detail, self.file))
+
+
+def files(disk: disk_lib.Disk) -> list[int]:
+    """Returns the numbers of the log files, in ascending order."""
+    names = (n.removeprefix(PREFIX) for n in disk.list() if PREFIX in n)
+    return sorted(int(number) for number in names if number.isdigit())
+
+
+# Size of a log that holds nothing.
+EMPTY_BYTES = len(frames.encode(0, [[0, ""], []]))
 
 
 def _payload(hard_state, entries):
--- a/auburnway/storage/wal_test.py
+++ b/auburnway/storage/wal_test.py
@@ -5,6 +5,7 @@
 from auburnway.storage import snapshots
 from auburnway.storage import wal as wal_lib
 
+FILE = wal_lib.PREFIX + "1"
 STATE = records.HardState(3, "a")
 
 
@@ -34,10 +35,10 @@
     return ends
 
 
-def _set(disk, data):
-    disk.remove(wal_lib.FILE)
-    disk.append(wal_lib.FILE, data)
-    disk.sync(wal_lib.FILE)
+def _set(disk, data, name=FILE):
+    disk.create(name)
+    disk.append(name, data)
+    disk.sync(name)
 
 
 def test_content_survives_and_later_entries_replace(disk):
@@ -54,7 +55,7 @@
 def test_every_torn_tail_is_cut_and_writing_goes_on(disk):
     # Guards against a crash in the middle of an append.
     ends = _written(disk)
-    data = disk.read(wal_lib.FILE)
+    data = disk.read(FILE)
     for size in range(ends[-2], ends[-1]):
         _set(disk, data[:size])
         wal = wal_lib.Wal(disk)
@@ -69,7 +70,7 @@
     # Guards against taking bit rot for a torn tail, which would drop
     # acknowledged entries.
     ends = _written(disk)
-    data = disk.read(wal_lib.FILE)
+    data = disk.read(FILE)
     for at in range(ends[-2]):
         _set(disk, data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1 :])
         with pytest.raises(disk_lib.DiskFault) as fault:
@@ -93,6 +94,28 @@
     assert content == wal_lib.Content(STATE, (_entry(3), _entry(4)))
 
 
+def test_crash_at_any_point_of_a_compaction_loses_nothing(disk):
+    # Guards against a state in which neither file holds the whole log.
+    _written(disk)
+    old = disk.read(FILE)
+    wal = wal_lib.Wal(disk)
+    wal.load()
+    name = wal.next_file
+    disk.create(name)
+    assert wal.switch(STATE, (_entry(2), _entry(3))) == FILE
+    new = disk.read(name)
+    for size in range(len(new) + 1):
+        _set(disk, old)
+        _set(disk, new[:size], name)
+        content = wal_lib.Wal(disk).load()
+        assert content.hard_state == STATE
+        assert content.entries[-2:] == (_entry(2), _entry(3))
+    # The old file is gone by now, so a bad first record must be refused.
+    _set(disk, b"x" + new[1:], name)
+    with pytest.raises(disk_lib.DiskFault):
+        wal_lib.Wal(disk).load()
+
+
 def test_unsynced_bytes_and_failed_syncs_are_not_content():
     # Guards against the belief that a write without a sync is kept.
     disk = disk_lib.FakeDisk()
@@ -102,7 +125,7 @@
     disk.syncs_before_failure = 0
     with pytest.raises(disk_lib.DiskFault):
         wal.append(None, (_entry(3),))
-    disk.append(wal_lib.FILE, b"unsynced")
+    disk.append(FILE, b"unsynced")
     disk.crash()
     assert len(wal_lib.Wal(disk).load().entries) == 2
 
