--- a/auburnway/policy/replica_choice.py
+++ b/auburnway/policy/replica_choice.py
@@ -178,8 +178,12 @@
         if reported_busy_slots is not None:
             server.busy_slots = reported_busy_slots
         if ok:
-            server.sample(latency_ms, now_ms, SAMPLE_WEIGHT)
             typical_ms = self._typical_ms.get(server.application, latency_ms)
+            if server.estimate_ms < 0.0:
+                # One slow first reply would shut out a new server.
+                server.estimate_ms = typical_ms
+                server.sampled_ms = now_ms
+            server.sample(latency_ms, now_ms, SAMPLE_WEIGHT)
             typical_ms += 0.05 * (latency_ms - typical_ms)
             self._typical_ms[server.application] = typical_ms
             return
--- a/auburnway/policy/retry_budget.py
+++ b/auburnway/policy/retry_budget.py
@@ -42,8 +42,7 @@
           True when the extra send is allowed.
         """
         del now_ms
-        # Sums of 0.05 fall short of a whole token by rounding.
-        if self._tokens < 1.0 - 1e-9:
+        if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
         return True
