--- a/auburnway/policy/slot_sharing_test.py
+++ b/auburnway/policy/slot_sharing_test.py
@@ -29,7 +29,9 @@
         (45, "even bulk", 0.05),
         (9, "even urgent", 0.05),
         (15, "even urgent", 0.05),
-        # The entries with little load must keep room for urgent work.
+        (15, "urgent at one entry", 0.05),
+        # The target of 5% is not met here: entries with little load must keep
+        # room for urgent work, and the rest learns of it late.
         (15, "bulk at one entry", 0.30),
     ],
 )
@@ -45,12 +47,14 @@
             for entry in range(ENTRIES)
         ],
     )
-    is_urgent = flood == "even urgent"
+    is_urgent = "urgent" in flood
     load = driver.URGENT_FLOOD if is_urgent else driver.BULK_FLOOD
     fleet.loads = [load] * ENTRIES
-    if flood == "bulk at one entry":
-        quiet = {**load, "bulk": 0.01}
-        fleet.loads = [{**load, "bulk": 35.0}] + [quiet] * (ENTRIES - 1)
+    if "one" in flood:
+        rank = flood.split()[0]
+        quiet = {**load, rank: 0.01}
+        flooded = {**load, rank: ENTRIES * load[rank]}
+        fleet.loads = [flooded] + [quiet] * (ENTRIES - 1)
     fleet.measure(5_000).measure(60_000)
     idle_share = fleet.idle_ms / fleet.slot_ms
     shed_share = sum(fleet.was_shed) / len(fleet.was_shed)
@@ -58,7 +62,10 @@
     print(f"shed {shed_share:.4f}, {fleet}")
     assert idle_share <= max_idle_share
     assert shed_share <= 0.02
-    assert is_urgent or fleet.figures("urgent")[0] >= 0.99
+    if is_urgent:
+        assert fleet.figures("urgent")[1] >= 0.4
+    else:
+        assert fleet.figures("urgent")[0] >= 0.99
     assert fleet.figures("normal")[1] >= 0.18
     assert fleet.figures("bulk")[1] >= 0.09
 
