Ignore late replies of a backend server that was forgotten

Cause: a reply, a timeout or a refusal that arrived after forget() made a new record for a server that is gone, which was then never removed.

Ruled out: expiry of records by time; the owner already says when a server is gone.

Change: only started() and choose() make records.

Conclusion: memory follows the servers in the table.

--- a/auburnway/policy/replica_choice.py
+++ b/auburnway/policy/replica_choice.py
@@ -173,7 +173,10 @@
           now_ms: Present instant.
           reported_busy_slots: Busy slots that the reply stated, if any.
         """
-        server = self._server(name)
+        server = self._servers.get(name)
+        if server is None:
+            # It was forgotten while the sub-request ran.
+            return
         self._remove_start(server, now_ms - latency_ms)
         if reported_busy_slots is not None:
             server.busy_slots = reported_busy_slots
@@ -200,8 +203,8 @@
         estimate but not lower it. The sub-request that is given up is taken
         to be the oldest one in flight there.
         """
-        server = self._server(name)
-        if not server.starts:
+        server = self._servers.get(name)
+        if server is None or not server.starts:
             return
         elapsed_ms = now_ms - server.starts.pop(0)
         if elapsed_ms > server.estimate_ms:
@@ -214,7 +217,9 @@
 
     def shed(self, name: str, now_ms: float) -> None:
         """Notes that a backend server refused before starting."""
-        server = self._server(name)
+        server = self._servers.get(name)
+        if server is None:
+            return
         if server.starts:
             server.starts.pop()
         server.avoided_until_ms = now_ms + SHED_PAUSE_MS
