Give applications with few requests a hedging delay

Cause: below 10 sub-requests a second no window of 10 s held the 100 samples that a 95th percentile needs, so such an application was never hedged.

Ruled out: fewer samples, which would rest the percentile on one or two slow replies.

Change: a histogram is cleared only when the other holds enough samples, and both are cleared after 10 s without any sample.

The new test failed on a scratch copy without the rule.

Conclusion: the delay exists at any rate.

--- a/auburnway/policy/hedging.py
+++ b/auburnway/policy/hedging.py
@@ -26,26 +26,33 @@
     """Latencies of one application over a sliding window.
 
     Two histograms record every sample and are cleared in turn, half a window
-    apart. The one cleared earlier holds the last half to whole window.
+    apart. The one cleared earlier holds the last half to whole window, or
+    more when the application has too few samples in that time.
     """
 
     def __init__(self, now_ms: float):
         self.older = histogram.HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
         self.newer = histogram.HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
         self.swap_at_ms = now_ms + WINDOW_MS / 2
+        self.refreshed_ms = now_ms
         self.refresh_at_ms = now_ms
         self.delay_ms: float | None = None
 
     def refresh(self, now_ms: float) -> None:
         """Forgets old samples and reads the percentile."""
-        self.refresh_at_ms = now_ms + REFRESH_MS
-        if now_ms >= self.swap_at_ms:
+        if now_ms - self.refreshed_ms > WINDOW_MS:
+            # No sample came for that long: all are old.
+            self.older.reset()
+            self.newer.reset()
+        if (
+            now_ms >= self.swap_at_ms
+            and self.newer.get_total_count() >= MIN_SAMPLES
+        ):
             self.older.reset()
-            if now_ms >= self.swap_at_ms + WINDOW_MS / 2:
-                # The pause was longer than the window: all is old.
-                self.newer.reset()
             self.older, self.newer = self.newer, self.older
             self.swap_at_ms = now_ms + WINDOW_MS / 2
+        self.refreshed_ms = now_ms
+        self.refresh_at_ms = now_ms + REFRESH_MS
         if self.older.get_total_count() >= MIN_SAMPLES:
             value_us = self.older.get_value_at_percentile(QUANTILE_PERCENT)
             self.delay_ms = value_us / 1000.0
--- a/auburnway/policy/hedging_test.py
+++ b/auburnway/policy/hedging_test.py
@@ -7,9 +7,9 @@
 from auburnway.policy import hedging
 
 
-def observe(hedger, latencies, start_ms=0.0):
+def observe(hedger, latencies, start_ms=0.0, step_ms=10.0):
     for number, latency_ms in enumerate(latencies):
-        hedger.observe("app", latency_ms, start_ms + 10.0 * number)
+        hedger.observe("app", latency_ms, start_ms + step_ms * number)
     return hedger.delay_ms("app")
 
 
@@ -37,3 +37,9 @@
     observe(hedger, [100.0] * 2_000)
     delay_ms = observe(hedger, [10.0] * count, 20_000.0 + pause_ms)
     assert delay_ms == pytest.approx(10.0, rel=0.02)
+
+
+def test_an_application_with_few_requests_has_a_delay():
+    # Guards against an application of 2 sub-requests a second that is never
+    # hedged, because no window holds enough samples.
+    assert observe(hedging.Hedger(), [10.0] * 300, step_ms=500.0) is not None
