--- /dev/null
+++ b/auburnway/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the promises with real processes, killed and frozen."""
--- /dev/null
+++ b/auburnway/faults/crash_test.py
@@ -0,0 +1,105 @@
+"""A request that crashes every backend server that runs it."""
+
+from concurrent import futures
+import random
+import threading
+
+import pytest
+
+from auburnway.demo import fleet as fleet_lib
+from auburnway.faults import bookings
+
+pytestmark = pytest.mark.processes
+
+POISON = "crashes-all"
+RESENDS = 20
+MOST_LOST = 2
+
+
+def _search(entry, caller, weave):
+    body = {
+        "caller": caller,
+        "kind": "search",
+        "deadline_ms": 2000.0,
+        "query": {"weave": weave},
+    }
+    _, answer = fleet_lib.call(entry.address, "POST", "/v1/requests", body)
+    return answer
+
+
+def _others(rig, stopped, send):
+    """Sends other callers' requests until the event; returns the answers."""
+    answers, number = [], 0
+    while not stopped.is_set():
+        entry = rig.fleet.entries[number % len(rig.fleet.entries)]
+        answers.append(send(entry, number))
+        number += 1
+    return answers
+
+
+def _resend(rig, application, send, send_other):
+    """Returns lost servers, answers to the poison and to other requests."""
+    rig.set_servers(application, poison=POISON)
+    stopped = threading.Event()
+    with futures.ThreadPoolExecutor(3) as pool:
+        others = [
+            pool.submit(_others, rig, stopped, send_other) for _ in range(3)
+        ]
+        entries = rig.fleet.entries
+        answers = [send(entries[i % len(entries)], i) for i in range(RESENDS)]
+        stopped.set()
+        told = [answer for future in others for answer in future.result()]
+    servers = rig.application(application)
+    lost = [m.name for m in servers if m.process.poll() is not None]
+    # The poison is a setting of the run, so new processes lack it.
+    for member in servers:
+        rig.fleet.kill(member)
+    print(lost, [a.get("error", {}).get("code") for a in answers], len(told))
+    return lost, answers, told
+
+
+def test_crashing_search_takes_two_servers_and_no_other_request(rig):
+    # Guards against a fan-out that crashes one server per shard or goes on
+    # crashing them through other entries, and against refusing its
+    # neighbours.
+    weaves = ("twill", "plain", "satin")
+    lost, answers, told = _resend(
+        rig,
+        "finder",
+        lambda entry, i: _search(entry, "desk", POISON),
+        lambda entry, i: _search(entry, "other", weaves[i % 3]),
+    )
+    assert 1 <= len(lost) <= MOST_LOST
+    assert answers[-1]["error"]["code"] == "quarantined"
+    refused = [a for a in told if a["outcome"] != "done"]
+    assert not refused, refused[:3]
+
+
+def test_crashing_booking_takes_two_servers_and_no_other_request(rig):
+    # Guards against new keys for the same crashing request; each would be
+    # claimed and dispatched by itself.
+    rng = random.Random(5)
+
+    def send(entry, i):
+        # The marker must stay the same, or it is another request.
+        body = {
+            "caller": "desk",
+            "kind": "booking",
+            "deadline_ms": 2000.0,
+            "idempotency_key": bookings.new_key(rng),
+            "attempt": 1,
+            "query": {"what": POISON},
+        }
+        _, answer = fleet_lib.call(entry.address, "POST", "/v1/requests", body)
+        return answer
+
+    def send_other(entry, i):
+        booking = bookings.Booking(bookings.new_key(rng))
+        return bookings.send(booking, entry.address, 2000.0, "other")
+
+    lost, answers, told = _resend(rig, "ledger", send, send_other)
+    assert 1 <= len(lost) <= MOST_LOST
+    assert answers[-1]["error"]["code"] == "quarantined"
+    # A booking that ran on a lost server is truthfully unknown.
+    refused = [a for a in told if a.get("outcome") not in ("done", "unknown")]
+    assert not refused, refused[:3]
