--- /dev/null
+++ b/auburnway/entry/api_page_test.py
@@ -0,0 +1,69 @@
+"""Checks docs/API.md against the error classes that an entry can return."""
+
+import ast
+import importlib
+import pathlib
+import re
+
+import pytest
+
+from auburnway.core import errors
+from auburnway.entry import node
+
+ROOT = pathlib.Path(__file__).parents[2]
+# Parsing and rendering outside the entry package.
+OTHERS = ("core/request.py", "core/answer.py", "core/membership.py")
+ROW = re.compile(
+    r"^\| `(\w+)` \| (\d{3}) \| [a-z_, ]+ \| .+? \| (.+) \|$", re.M
+)
+
+
+def _returned_classes():
+    """Returns the error classes that the modules construct, by code."""
+    sources = [
+        path
+        for path in (ROOT / "auburnway/entry").glob("*.py")
+        if not path.name.endswith("_test.py")
+    ]
+    sources += [ROOT / "auburnway" / name for name in OTHERS]
+    found = set()
+    for path in sources:
+        parts = path.relative_to(ROOT).with_suffix("").parts
+        module = importlib.import_module(".".join(parts))
+        for call in ast.walk(ast.parse(path.read_text("utf-8"))):
+            if not isinstance(call, ast.Call):
+                continue
+            value = _value(module, call.func)
+            if isinstance(value, type) and issubclass(value, errors.Error):
+                found.add(value)
+    return sorted(found, key=lambda cls: cls.code)
+
+
+def _value(module, name):
+    """Returns the object that a dotted name means in a module, or None."""
+    if isinstance(name, ast.Name):
+        return getattr(module, name.id, None)
+    if isinstance(name, ast.Attribute):
+        return getattr(_value(module, name.value), name.attr, None)
+    return None
+
+
+CLASSES = _returned_classes()
+
+
+@pytest.mark.parametrize("cls", CLASSES, ids=lambda cls: cls.__name__)
+def test_the_page_lists_each_error_that_an_entry_returns(cls):
+    # A caller that meets an undocumented code cannot know whether to resend.
+    rows = {
+        code: (int(status), remedy)
+        for code, status, remedy in ROW.findall(
+            (ROOT / "docs/API.md").read_text("utf-8")
+        )
+    }
+    assert rows.get(cls.code) == (cls.http_status, cls.remedy)
+
+
+def test_errors_of_several_modules_are_found():
+    # The check above would hold for any page if the search found nothing.
+    found = set(CLASSES)
+    assert {errors.BadKey, errors.Overloaded, node.BadToken} < found
