Give the lease up at a planned stop

Cause: LeaseKeeper.leave set a flag, but a poll is always held at that moment, and the answer of that poll ended polling without another one. Control never heard that the entry left: 1.7 s after SIGTERM it still counted 560 ms of its lease, and kept the entry registered until entry_removal_ms.

Ruled out: cancelling the held poll; control answers it within 400 ms, and a late renewal could arrive after the release.

Change: polling goes on until a poll that carried `leaving` is answered, which also ends the loop; the time bound covers the held poll and one call.

Conclusion: found while writing the procedure of the rolling upgrade.

--- a/auburnway/entry/lease.py
+++ b/auburnway/entry/lease.py
@@ -44,6 +44,7 @@
         self._on_lease = on_lease
         self._leaving = False
         self._stopped = False
+        self._on_left: abc.Callable[[], None] | None = None
         self._lease_id = 0
         self.configuration = configuration_lib.EMPTY
         self.lease_end_ms = 0.0
@@ -53,9 +54,14 @@
         """Starts polling."""
         self._renew()
 
-    def leave(self) -> None:
-        """Gives up the lease with the next poll."""
+    def leave(self, on_left: abc.Callable[[], None]) -> None:
+        """Gives up the lease with the next poll.
+
+        Args:
+          on_left: Called when control has taken the lease back.
+        """
         self._leaving = True
+        self._on_left = on_left
 
     def stop(self) -> None:
         """Ends polling."""
@@ -87,11 +93,15 @@
         sent_ms = self._clock.now_ms()
 
         def on_done(outcome):
-            self._mailbox.post(lambda: self._on_reply(outcome, sent_ms))
+            self._mailbox.post(
+                lambda: self._on_reply(outcome, sent_ms, request.leaving)
+            )
 
         self._control.call_async("Renew", request, CALL_TIMEOUT_MS, on_done)
 
-    def _on_reply(self, outcome: typing.Any, sent_ms: float) -> None:
+    def _on_reply(
+        self, outcome: typing.Any, sent_ms: float, gave_up: bool
+    ) -> None:
         if self._stopped:
             return
         if not pipeline.is_successful(outcome) or outcome.unwrap().error.code:
@@ -106,5 +116,10 @@
         # slow reply nor a frozen process makes it longer.
         self.lease_end_ms = sent_ms + reply.lease_ms
         self._on_lease(self.lease_end_ms, tuple(reply.entry_names))
-        if not self._leaving:
+        if gave_up:
+            self._stopped = True
+            self._on_left()
+        else:
+            # A poll that was held when `leave` was called still renewed the
+            # lease, so another one must give it up.
             self._renew()
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -438,10 +438,10 @@
         if self._front.pending_count() or self._claims.unsettled:
             self._loop.timers.after(DRAIN_CHECK_MS, self._drain)
             return
-        self._lease.leave()
-        # The last poll gives the lease back; then the loop ends.
+        self._lease.leave(self._loop.stop)
+        # Without control the lease runs out by itself.
         self._loop.timers.after(
-            lease_lib.POLL_WAIT_MS + lease_lib.RETRY_MS, self._loop.stop
+            lease_lib.POLL_WAIT_MS + lease_lib.CALL_TIMEOUT_MS, self._loop.stop
         )
 
 
