Tell slot sharing of sheds, and split the exchange from its connection

Ruled out: counting sheds per query; a query over 10 shards sheds in parts. Change: shed share counts sub-requests since the last look; a request displaced from the queue is answered as overloaded, not as late.

--- a/auburnway/entry/admitter.py
+++ b/auburnway/entry/admitter.py
@@ -30,6 +30,7 @@
         table: membership.Table,
         sharing: typing.Any,
         peer_demands: abc.Callable[[], dict[str, dict]],
+        shed_share: abc.Callable[[str], float],
         refuse: abc.Callable[
             [request_lib.Request, errors.Error, float | None], None
         ],
@@ -38,12 +39,11 @@
         self._table = table
         self._sharing = sharing
         self._peer_demands = peer_demands
+        self._shed_share = shed_share
         self._refuse = refuse
         self._configuration = configuration_lib.EMPTY
         self._queues: dict[str, typing.Any] = {}
         self._waiting: dict[str, tuple[request_lib.Request, typing.Any]] = {}
-        self._sheds: dict[str, int] = {}
-        self._starts: dict[str, int] = {}
         timers.every(POLL_PERIOD_MS, self._poll_all)
         timers.every(LIMIT_PERIOD_MS, self._set_limits)
 
@@ -85,7 +85,6 @@
         )
         name = type(decision).__name__
         if name == "Admitted":
-            self._starts[application] = self._starts.get(application, 0) + 1
             start()
         elif name == "Queued":
             self._waiting[request.request_id] = (request, start)
@@ -101,10 +100,6 @@
         queue.finish(request.request_id, self._clock.now_ms())
         self._poll(application)
 
-    def shed(self, application: str) -> None:
-        """Notes that a backend server had no free slot."""
-        self._sheds[application] = self._sheds.get(application, 0) + 1
-
     def demand(self) -> dict[str, dict[str, tuple[int, int]]]:
         """Returns waiting and in-flight requests by application and rank."""
         return {name: q.demand() for name, q in self._queues.items()}
@@ -143,14 +138,12 @@
             }
             for name, demand in self._peer_demands().items()
         }
-        sheds = self._sheds.pop(application, 0)
-        starts = self._starts.pop(application, 0)
         limit = self._sharing.limit(
             application,
             self._fleet_slots(application),
             queue.demand(),
             peers,
-            sheds / max(starts + sheds, 1),
+            self._shed_share(application),
             now_ms,
         )
         queue.set_limit(limit)
@@ -180,9 +173,12 @@
         started, dropped = queue.poll(self._clock.now_ms())
         for request_id, reason in dropped:
             request, _ = self._waiting.pop(request_id)
-            error = errors.DeadlineExceeded(reason, request_id)
+            kind = errors.DeadlineExceeded
+            if reason == "displaced":
+                # Newest waiting request of a caller that is over its share.
+                kind = errors.Overloaded
+            error = kind(reason, request_id)
             self._refuse(request, error, None)
         for request_id in started:
             _, start = self._waiting.pop(request_id)
-            self._starts[application] = self._starts.get(application, 0) + 1
             start()
--- a/auburnway/entry/backends.py
+++ b/auburnway/entry/backends.py
@@ -1,5 +1,6 @@
 """What a query needs to reach backend servers, and the wire form of that."""
 
+import collections
 import dataclasses
 import random
 import typing
@@ -10,6 +11,7 @@
 from auburnway.core import membership
 from auburnway.core import request as request_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import exchange as exchange_lib
 from auburnway.net import http_client
 
 
@@ -31,6 +33,8 @@
         reply carried, so that a drain needs no announcement to be seen.
       sub_requests: Count of sub-requests sent.
       extra_sub_requests: Count of those that were hedges or retries.
+      sent: Sub-requests sent by application.
+      shed: Sub-requests by application that found no free slot.
     """
 
     pool: http_client.HttpPool
@@ -45,6 +49,24 @@
     on_state: typing.Callable[[str, str], None]
     sub_requests: int = 0
     extra_sub_requests: int = 0
+    sent: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    shed: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def count_sent(self, application: str, is_extra: bool) -> None:
+        """Counts one sub-request."""
+        self.sub_requests += 1
+        self.extra_sub_requests += is_extra
+        self.sent[application] += 1
+
+    def take_shed_share(self, application: str) -> float:
+        """Returns the share of sub-requests shed since the last call."""
+        sent = self.sent.pop(application, 0)
+        shed = self.shed.pop(application, 0)
+        return shed / sent if sent else 0.0
 
 
 def run_payload(
@@ -85,19 +107,19 @@
     return head.encode() + body
 
 
-def not_started(reply: http_client.Reply) -> bool:
+def not_started(reply: exchange_lib.Reply) -> bool:
     """Whether the reply proves that the work did not run there."""
     return not reply.reached or reply.headers.get("x-not-started") == "1"
 
 
-def busy_slots(reply: http_client.Reply) -> int | None:
+def busy_slots(reply: exchange_lib.Reply) -> int | None:
     """Returns the load that the backend server reported, if any."""
     value = reply.headers.get("x-busy-slots", "")
     return int(value) if value.isdigit() else None
 
 
 def accept(
-    reply: http_client.Reply, sub_id: str, snapshot: int, shard: int
+    reply: exchange_lib.Reply, sub_id: str, snapshot: int, shard: int
 ) -> list[typing.Any] | None:
     """Returns the records of a reply that is truly for this sub-request.
 
--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -13,7 +13,7 @@
 from auburnway.core import snapshot as snapshot_lib
 from auburnway.entry import backends as backends_lib
 from auburnway.entry import sub_request
-from auburnway.net import http_client
+from auburnway.net import exchange as exchange_lib
 
 # Time kept for merging and for the way back to the caller.
 ANSWER_MARGIN_MS = 10.0
@@ -168,8 +168,7 @@
         attempt = sub_request.Attempt(row, sub_id, now_ms)
         shard.attempts.append(attempt)
         backends.chooser.started(row.name, now_ms)
-        backends.sub_requests += 1
-        backends.extra_sub_requests += extra
+        backends.count_sent(request.kind.application, extra)
         backends.budget.on_sub_request()
         payload = backends_lib.run_payload(
             row.address,
@@ -228,7 +227,7 @@
         self,
         shard: sub_request.Shard,
         attempt: sub_request.Attempt,
-        reply: http_client.Reply,
+        reply: exchange_lib.Reply,
     ) -> None:
         backends = self._backends
         now_ms = backends.clock.now_ms()
@@ -256,6 +255,7 @@
             self._retry_free(shard, drop_snapshot=True)
         elif reply.failure is None and backends_lib.not_started(reply):
             backends.chooser.shed(name, now_ms)
+            backends.shed[self._request.kind.application] += 1
             self._retry_free(shard)
         else:
             backends.chooser.finished(name, latency_ms, False, now_ms, None)
@@ -287,13 +287,13 @@
         self,
         shard: sub_request.Shard,
         attempt: sub_request.Attempt,
-        reply: http_client.Reply,
+        reply: exchange_lib.Reply,
     ) -> None:
         if not reply.reached:
             self._retry_free(shard)
             return
         guard = self._backends.guard
-        if reply.failure is http_client.Failure.CONNECTION_LOST:
+        if reply.failure is exchange_lib.Failure.CONNECTION_LOST:
             guard.record_loss(self._request, attempt.row)
             if self._holds_trial:
                 self._holds_trial = False
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -122,8 +122,11 @@
             self._clock,
             loop.timers,
             self._table,
-            slot_sharing.Sharing(len(settings.seed_peers) + 1),
+            slot_sharing.Sharing(
+                len(settings.seed_peers) + 1, (), settings.name
+            ),
             self._peer_demands,
+            self._backends.take_shed_share,
             self._refuse,
         )
         self._respond: dict[str, typing.Any] = {}
--- a/auburnway/entry/non_repeatable.py
+++ b/auburnway/entry/non_repeatable.py
@@ -14,7 +14,7 @@
 from auburnway.core import snapshot as snapshot_lib
 from auburnway.entry import backends as backends_lib
 from auburnway.entry import claim_client
-from auburnway.net import http_client
+from auburnway.net import exchange as exchange_lib
 
 # Only a connection whose last round trip is this recent is used: an older
 # one may have gone silent, and silence cannot be repaired by sending again.
@@ -47,7 +47,7 @@
         self._on_done = on_done
         self._claim: claim_client.Claim | None = None
         self._tried: set[str] = set()
-        self._exchange: http_client.Exchange | None = None
+        self._exchange: exchange_lib.Exchange | None = None
         self._found_open = False
         self._answered = False
         self._settled = False
@@ -182,7 +182,7 @@
             f"{self._claim.claim_id}.{self._claim.attempt}",
         )
         backends.chooser.started(row.name, now_ms)
-        backends.sub_requests += 1
+        backends.count_sent(request.kind.application, False)
         exchange = backends.pool.send(
             row.address,
             payload,
@@ -218,6 +218,7 @@
             self._exchange = None
             if reply.failure is None:
                 backends.chooser.shed(row.name, now_ms)
+                backends.shed[self._request.kind.application] += 1
             else:
                 backends.chooser.finished(
                     row.name, now_ms - started_ms, False, now_ms, None
@@ -232,7 +233,7 @@
         backends.chooser.finished(
             row.name, now_ms - started_ms, False, now_ms, None
         )
-        if reply.failure is http_client.Failure.CONNECTION_LOST:
+        if reply.failure is exchange_lib.Failure.CONNECTION_LOST:
             backends.guard.record_loss(self._request, row)
             self._end_trial(trial, "lost", row)
         else:
--- a/auburnway/entry/sub_request.py
+++ b/auburnway/entry/sub_request.py
@@ -4,7 +4,7 @@
 import typing
 
 from auburnway.core import membership
-from auburnway.net import http_client
+from auburnway.net import exchange as exchange_lib
 
 # First pause when every replica of a shard refused for lack of a slot.
 FIRST_BACKOFF_MS = 2.0
@@ -24,7 +24,7 @@
     row: membership.Row
     sub_id: str
     started_ms: float
-    exchange: http_client.Exchange | None = None
+    exchange: exchange_lib.Exchange | None = None
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/auburnway/entry/testing.py
+++ b/auburnway/entry/testing.py
@@ -14,7 +14,7 @@
 from auburnway.entry import claim_client
 from auburnway.entry import crash_guard
 from auburnway.kernel import timers as timers_lib
-from auburnway.net import http_client
+from auburnway.net import exchange as exchange_lib
 from auburnway.policy import quarantine
 from auburnway.policy import replica_choice
 from auburnway.policy import retry_budget
@@ -25,13 +25,13 @@
     """Keeps exchanges until the test answers them."""
 
     def __init__(self):
-        self.open: list[tuple[str, dict, dict, http_client.Exchange]] = []
+        self.open: list[tuple[str, dict, dict, exchange_lib.Exchange]] = []
         self.cancelled: list[str] = []
         self.sent: list[tuple[str, dict]] = []
 
     def send(self, address, payload, on_reply, max_silence_ms=None):
         head, _, body = payload.partition(b"\r\n\r\n")
-        exchange = http_client.Exchange(payload, on_reply, 0.0)
+        exchange = exchange_lib.Exchange(payload, on_reply, 0.0)
         data = json.loads(body)
         if b"/v1/cancel" in head:
             self.cancelled.append(data["request_id"])
@@ -66,22 +66,22 @@
             **changes,
         }
         exchange.finish(
-            http_client.Reply(200, {}, json.dumps(body).encode(), None, True)
+            exchange_lib.Reply(200, {}, json.dumps(body).encode(), None, True)
         )
 
     def refuse(self, each, status=503):
         """Replies that the work did not start."""
         headers = {"x-not-started": "1"}
-        each[3].finish(http_client.Reply(status, headers, b"", None, True))
+        each[3].finish(exchange_lib.Reply(status, headers, b"", None, True))
 
     def lose(self, each, reached=True):
         """Loses the connection."""
         failure = (
-            http_client.Failure.CONNECTION_LOST
+            exchange_lib.Failure.CONNECTION_LOST
             if reached
-            else http_client.Failure.CONNECT_FAILED
+            else exchange_lib.Failure.CONNECT_FAILED
         )
-        each[3].finish(http_client.Reply(0, {}, b"", failure, reached))
+        each[3].finish(exchange_lib.Reply(0, {}, b"", failure, reached))
 
 
 class FakeControl:
--- a/auburnway/load/caller.py
+++ b/auburnway/load/caller.py
@@ -9,6 +9,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import exchange as exchange_lib
 from auburnway.net import http_client
 
 # Attempts of one request; each takes another address if there is one.
@@ -116,7 +117,7 @@
         self._pool.set_server(address, self._connection_limit, 0)
         exchange = self._pool.send(address, payload.encode(), on_reply)
 
-    def _take_addresses(self, reply: http_client.Reply) -> float | None:
+    def _take_addresses(self, reply: exchange_lib.Reply) -> float | None:
         """Returns the time to live, or None when there are no addresses."""
         try:
             data = json.loads(reply.body)
@@ -157,7 +158,7 @@
         self._addresses = caller._shuffled(caller._addresses)
         self._attempts = 0
         self._clean = True
-        self._exchange: http_client.Exchange | None = None
+        self._exchange: exchange_lib.Exchange | None = None
         self._timeout = caller._timers.after(
             deadline_ms + GRACE_MS, self._on_timeout
         )
@@ -181,11 +182,11 @@
         if exchange.on_reply is not None:
             self._exchange = exchange
 
-    def _on_reply(self, reply: http_client.Reply) -> None:
+    def _on_reply(self, reply: exchange_lib.Reply) -> None:
         if reply.failure is None:
             self._on_answer(reply)
             return
-        if reply.failure is http_client.Failure.NO_CONNECTION:
+        if reply.failure is exchange_lib.Failure.NO_CONNECTION:
             self._fail("no_connection", again=False)
         elif not reply.reached:
             self._fail("refused", again=True)
@@ -194,7 +195,7 @@
             # A second attempt is safe: repeatable, or with the same key.
             self._fail("cut_off", again=True)
 
-    def _on_answer(self, reply: http_client.Reply) -> None:
+    def _on_answer(self, reply: exchange_lib.Reply) -> None:
         try:
             body = json.loads(reply.body)
             code = body.get("error", {}).get("code")
--- a/auburnway/net/http_client.py
+++ b/auburnway/net/http_client.py
@@ -13,8 +13,6 @@
 """
 
 import collections
-from collections import abc
-import dataclasses
 import enum
 import errno
 import select
@@ -26,6 +24,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import exchange as exchange_lib
 
 RECEIVE_BYTES = 65536
 # A new connection that is not established by then is given up.
@@ -39,43 +38,11 @@
 # The kernel gives up unacknowledged data after this time.
 TCP_USER_TIMEOUT_MS = 2000
 
-_PING = b"GET /v1/ping HTTP/1.1\r\nhost: backend\r\n\r\n"
-
-
-class Failure(enum.Enum):
-    """Why an exchange has no reply."""
-
-    # No connection is free and the limit is reached; nothing was sent.
-    NO_CONNECTION = "no_connection"
-    # The connection could not be established; nothing was sent.
-    CONNECT_FAILED = "connect_failed"
-    # The connection was lost after sending started.
-    CONNECTION_LOST = "connection_lost"
-    # The reply is not HTTP.
-    PROTOCOL = "protocol"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """End of an exchange.
+_LOST = exchange_lib.Failure.CONNECTION_LOST
+_CONNECT_FAILED = exchange_lib.Failure.CONNECT_FAILED
+_NO_CONNECTION = exchange_lib.Failure.NO_CONNECTION
 
-    Attributes:
-      status: HTTP status; 0 without a reply.
-      headers: Header values by lower-case name.
-      body: Body of the reply.
-      failure: None with a reply.
-      reached: False only when no byte of the request can have reached the
-        backend server.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    failure: Failure | None
-    reached: bool
-
-
-OnReply = abc.Callable[[Reply], None]
+_PING = b"GET /v1/ping HTTP/1.1\r\nhost: backend\r\n\r\n"
 
 
 class _State(enum.Enum):
@@ -87,36 +54,6 @@
     CLOSED = 5
 
 
-class Exchange:
-    """Handle of one request; `abandon` gives up its reply."""
-
-    __slots__ = ("connection", "on_reply", "payload", "sent", "started_ms")
-
-    def __init__(self, payload: bytes, on_reply: OnReply, started_ms: float):
-        self.connection: _Connection | None = None
-        self.on_reply: OnReply | None = on_reply
-        self.payload = payload
-        self.sent = False
-        self.started_ms = started_ms
-
-    def abandon(self) -> bool:
-        """Gives up the reply; the completion function is not called.
-
-        Returns:
-          True when the request can have reached the backend server.
-        """
-        self.on_reply = None
-        if self.connection is not None:
-            self.connection.abandon(self)
-        return self.sent
-
-    def finish(self, reply: Reply) -> None:
-        """Calls the completion function once."""
-        on_reply, self.on_reply = self.on_reply, None
-        if on_reply is not None:
-            on_reply(reply)
-
-
 class _Connection:
     """One socket with its parser; also the parser's callback target."""
 
@@ -124,7 +61,7 @@
         self.pool = pool
         self.address = address
         self.state = _State.CONNECTING
-        self.exchange: Exchange | None = None
+        self.exchange: exchange_lib.Exchange | None = None
         self.last_reply_ms = 0.0
         self.timer: timers_lib.Timer | None = None
         self._unsent = b""
@@ -160,7 +97,7 @@
 
     # Sending.
 
-    def start(self, exchange: Exchange) -> None:
+    def start(self, exchange: exchange_lib.Exchange) -> None:
         self.exchange = exchange
         exchange.connection = self
         if self.state is _State.IDLE:
@@ -178,7 +115,7 @@
         else:
             self.pool.release(self)
 
-    def _send(self, exchange: Exchange) -> None:
+    def _send(self, exchange: exchange_lib.Exchange) -> None:
         exchange.sent = True
         self.write(exchange.payload)
 
@@ -188,7 +125,7 @@
         except BlockingIOError:
             count = 0
         except OSError:
-            self.close(Failure.CONNECTION_LOST)
+            self.close(_LOST)
             return
         if count < len(data):
             self._unsent = data[count:]
@@ -210,22 +147,22 @@
         except OSError:
             data = b""
         if not data:
-            self.close(Failure.CONNECTION_LOST)
+            self.close(_LOST)
             return
         if self.state is _State.IDLE:
             # Bytes that no request asked for belong to nobody.
-            self.close(Failure.PROTOCOL)
+            self.close(exchange_lib.Failure.PROTOCOL)
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self.close(Failure.PROTOCOL)
+            self.close(exchange_lib.Failure.PROTOCOL)
             return
         if self._complete:
             self._finish_reply()
 
     def _finish_reply(self) -> None:
-        reply = Reply(
+        reply = exchange_lib.Reply(
             self._parser.get_status_code(),
             self._headers,
             b"".join(self._body),
@@ -243,34 +180,36 @@
         if keep:
             self.pool.release(self)
         else:
-            self.close(Failure.CONNECTION_LOST)
+            self.close(_LOST)
         if exchange is not None:
             exchange.finish(reply)
 
     # Ending.
 
-    def abandon(self, exchange: Exchange) -> None:
+    def abandon(self, exchange: exchange_lib.Exchange) -> None:
         if self.exchange is not exchange:
             return
         self.exchange = None
         if self.state is _State.BUSY:
             self.state = _State.ABANDONED
             self.timer = self.pool.timers.after(
-                DRAIN_TIMEOUT_MS, lambda: self.close(Failure.CONNECTION_LOST)
+                DRAIN_TIMEOUT_MS,
+                lambda: self.close(_LOST),
             )
 
     def ping(self) -> None:
         self.state = _State.PINGING
         self.timer = self.pool.timers.after(
-            PING_TIMEOUT_MS, lambda: self.close(Failure.CONNECTION_LOST)
+            PING_TIMEOUT_MS,
+            lambda: self.close(_LOST),
         )
         self.write(_PING)
 
-    def close(self, failure: Failure) -> None:
+    def close(self, failure: exchange_lib.Failure) -> None:
         if self.state is _State.CLOSED:
             return
         if self.state is _State.CONNECTING:
-            failure = Failure.CONNECT_FAILED
+            failure = _CONNECT_FAILED
         exchange, self.exchange = self.exchange, None
         self.state = _State.CLOSED
         if self.timer is not None:
@@ -279,7 +218,7 @@
         self.sock.close()
         if exchange is not None:
             reached = exchange.sent
-            exchange.finish(Reply(0, {}, b"", failure, reached))
+            exchange.finish(exchange_lib.Reply(0, {}, b"", failure, reached))
 
 
 class _Server:
@@ -343,7 +282,7 @@
             return
         server.limit = 0
         for connection in tuple(server.idle):
-            connection.close(Failure.CONNECTION_LOST)
+            connection.close(_LOST)
         if not server.all:
             del self._servers[address]
 
@@ -351,9 +290,9 @@
         self,
         address: str,
         payload: bytes,
-        on_reply: OnReply,
+        on_reply: exchange_lib.OnReply,
         max_silence_ms: float | None = None,
-    ) -> Exchange:
+    ) -> exchange_lib.Exchange:
         """Starts an exchange.
 
         Args:
@@ -368,7 +307,7 @@
           The handle with which the reply can be abandoned.
         """
         now_ms = self.clock.now_ms()
-        exchange = Exchange(payload, on_reply, now_ms)
+        exchange = exchange_lib.Exchange(payload, on_reply, now_ms)
         server = self._servers.get(address)
         if server is None:
             server = self._servers[address] = _Server(1)
@@ -377,11 +316,13 @@
             connection = self._open(address, server, exchange)
             if connection is None:
                 exchange.finish(
-                    Reply(0, {}, b"", Failure.CONNECT_FAILED, False)
+                    exchange_lib.Reply(0, {}, b"", _CONNECT_FAILED, False)
                 )
             return exchange
         if connection is None:
-            exchange.finish(Reply(0, {}, b"", Failure.NO_CONNECTION, False))
+            exchange.finish(
+                exchange_lib.Reply(0, {}, b"", _NO_CONNECTION, False)
+            )
             return exchange
         connection.start(exchange)
         return exchange
@@ -403,7 +344,7 @@
         if self._ping_timer is not None:
             self._ping_timer.cancel()
         for connection in tuple(self._by_descriptor.values()):
-            connection.close(Failure.CONNECTION_LOST)
+            connection.close(_LOST)
         self._poller.discard(self._epoll)
         self._epoll.close()
 
@@ -417,7 +358,7 @@
         """Takes back a connection whose exchange has ended."""
         server = self._servers[connection.address]
         if len(server.all) > server.limit:
-            connection.close(Failure.CONNECTION_LOST)
+            connection.close(_LOST)
         else:
             server.idle.append(connection)
 
@@ -447,12 +388,15 @@
         ):
             # Make room, so that a new connection can be opened instead.
             if len(server.all) >= server.limit:
-                server.idle[0].close(Failure.CONNECTION_LOST)
+                server.idle[0].close(_LOST)
             return None
         return server.idle.pop()
 
     def _open(
-        self, address: str, server: _Server, exchange: Exchange | None = None
+        self,
+        address: str,
+        server: _Server,
+        exchange: exchange_lib.Exchange | None = None,
     ) -> _Connection | None:
         connection = _Connection(self, address)
         if connection.connect_error not in (0, errno.EINPROGRESS):
@@ -465,7 +409,7 @@
             connection.start(exchange)
         connection.timer = self.timers.after(
             CONNECT_TIMEOUT_MS,
-            lambda: connection.close(Failure.CONNECT_FAILED),
+            lambda: connection.close(_CONNECT_FAILED),
         )
         return connection
 
@@ -498,7 +442,7 @@
 
     def _on_connect_end(self, connection: _Connection) -> None:
         if connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            connection.close(Failure.CONNECT_FAILED)
+            connection.close(_CONNECT_FAILED)
             return
         try:
             connection.sock.getpeername()
--- a/auburnway/net/http_client_test.py
+++ b/auburnway/net/http_client_test.py
@@ -7,6 +7,7 @@
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import mailbox as mailbox_lib
 from auburnway.kernel import process
+from auburnway.net import exchange as exchange_lib
 from auburnway.net import http_client
 
 TIMEOUT_S = 10.0
@@ -119,7 +120,7 @@
 def test_lost_reply_counts_as_reached(harness):
     server = Server(lambda number, data: None)
     reply = harness.send(server.address)
-    assert reply.failure is http_client.Failure.CONNECTION_LOST
+    assert reply.failure is exchange_lib.Failure.CONNECTION_LOST
     assert reply.reached
     server.close()
 
@@ -129,7 +130,7 @@
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
         reply = harness.send(f"127.0.0.1:{unused.getsockname()[1]}")
-    assert reply.failure is http_client.Failure.CONNECT_FAILED
+    assert reply.failure is exchange_lib.Failure.CONNECT_FAILED
     assert not reply.reached
 
 
@@ -150,7 +151,7 @@
             harness.pool.send(server.address, REQUEST, replies.append)
 
     harness.on_loop(send_three)
-    assert [r.failure for r in replies] == [http_client.Failure.NO_CONNECTION]
+    assert [r.failure for r in replies] == [exchange_lib.Failure.NO_CONNECTION]
     hold.set()
     server.close()
 
--- a/auburnway/standin/announcer.py
+++ b/auburnway/standin/announcer.py
@@ -9,6 +9,7 @@
 import zlib
 
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import exchange as exchange_lib
 from auburnway.net import http_client
 
 ENTRY_COUNT = 2
@@ -45,7 +46,7 @@
         self._known: tuple[str, ...] = ()
         self._targets: list[str] = []
         self._timer: timers_lib.Timer | None = None
-        self._pending: dict[str, http_client.Exchange] = {}
+        self._pending: dict[str, exchange_lib.Exchange] = {}
         self.acknowledged_count = 0
         self._learn(self._first_entries)
 
@@ -103,7 +104,7 @@
         ).encode("latin-1") + body
         self._pool.set_server(target, CONNECTIONS_PER_ENTRY, 0)
 
-        def on_reply(reply: http_client.Reply) -> None:
+        def on_reply(reply: exchange_lib.Reply) -> None:
             timeout.cancel()
             self._pending.pop(target, None)
             self._on_reply(target, reply)
@@ -120,7 +121,7 @@
         if exchange.on_reply is not None:
             self._pending[target] = exchange
 
-    def _on_reply(self, target: str, reply: http_client.Reply) -> None:
+    def _on_reply(self, target: str, reply: exchange_lib.Reply) -> None:
         if reply.status != 200:
             self._replace(target)
             return
