Let faults follow each other closely in the Raft tests

Cause: of ten mutations of the Raft rules and the store, the model missed four (promotion before catch-up, reads of the current round, votes for shorter logs, entries dropped by a compaction). Ruled out: more examples alone; 200 of them missed the same four. Change: runs disturb the instances every few steps, a partition moves at once from one instance to another, frozen leaders read before they hear news, and a restart must find exactly what the node knew; 150 seeded runs of 15 s.

--- a/auburnway/control/main.py
+++ b/auburnway/control/main.py
@@ -140,10 +140,14 @@
 def _token(settings: Settings) -> str:
     token = settings.token
     if settings.token_file:
-        token = pathlib.Path(settings.token_file).read_text("utf-8").strip()
+        try:
+            token = pathlib.Path(settings.token_file).read_text("utf-8").strip()
+        except (OSError, UnicodeDecodeError) as error:
+            problem = settings_lib.SettingsError(str(error), "token_file")
+            raise SystemExit(_failed(problem)) from error
     if not token:
-        error = settings_lib.SettingsError("neither token nor token_file", "")
-        raise SystemExit(_failed(error))
+        problem = settings_lib.SettingsError("token is empty", "token")
+        raise SystemExit(_failed(problem))
     return token
 
 
--- a/auburnway/core/raft_model_test.py
+++ b/auburnway/core/raft_model_test.py
@@ -1,5 +1,6 @@
 """Raft nodes on faulty disks and a faulty network."""
 
+from concurrent import futures
 import random
 
 import hypothesis
@@ -17,6 +18,18 @@
 STEP_MS = 20.0
 
 
+class Inline(futures.Executor):
+    """Runs work at once instead of on another thread."""
+
+    def submit(self, work, *arguments):
+        future = futures.Future()
+        try:
+            future.set_result(work(*arguments))
+        except disk_lib.DiskFault as fault:
+            future.set_exception(fault)
+        return future
+
+
 class Life:
     """One instance: its disk, and its node while it runs."""
 
@@ -26,6 +39,7 @@
         self.member = records.Member(name, incarnation, name)
         self.disk = disk_lib.FakeDisk()
         self.raft = None
+        self.expected = None
         store_lib.create(self.disk, self.identity, members)
         self.start()
 
@@ -38,13 +52,35 @@
             self.cluster.clock,
             random.Random(self.identity.incarnation),
         )
+        assert self.expected in (None, self.memory()), "forgotten state"
         self.applied = []
         self.restore(self.store.log.snapshot)
 
     def crash(self):
+        if self.raft is not None:
+            # All that was handled is on disk, so a restart must find it.
+            self.expected = self.memory()
         self.raft = None
         self.disk.crash()
 
+    def memory(self):
+        log = self.raft.log
+        return self.raft.hard_state, log.last_index, log.last_term
+
+    def compact(self):
+        if (
+            self.raft is None
+            or self.raft.commit <= self.raft.log.snapshot.index
+        ):
+            return
+        index, data = self.raft.commit, msgpack.packb(self.applied)
+        try:
+            self.store.begin_compaction(index, data, Inline()).result()
+            self.raft.compact(index, data)
+            self.store.end_compaction(Inline())
+        except disk_lib.DiskFault:
+            self.crash()
+
     def restore(self, snapshot):
         if snapshot.data:
             rows = msgpack.unpackb(snapshot.data, use_list=False)
@@ -61,6 +97,7 @@
             self.store.write([output])
         except disk_lib.DiskFault:
             self.crash()
+            self.expected = None
             return None
         self.cluster.on_output(self, output)
         if output.snapshot is not None:
@@ -166,19 +203,18 @@
         drop=0.0,
         duplicate=0.0,
         keep=0.0,
-        restart=0.0,
+        disturb=0.0,
     ):
         """Passes time; `keep` holds messages back, which reorders them."""
         rng = rng or random.Random(0)
         for _ in range(int(duration_ms / STEP_MS)):
             self.clock.advance(STEP_MS)
             for life in self.lives.values():
-                if life.raft is not None and rng.random() < restart:
-                    life.crash()
-                    life.start()
                 if life.identity.name not in self.frozen:
                     life.act(lambda raft: raft.tick())
             self.join()
+            if rng.random() < disturb:
+                self.disturb(rng)
             for _ in range(4):
                 batch, self.messages = self.messages[-200:], []
                 rng.shuffle(batch)
@@ -192,6 +228,51 @@
                     if rng.random() < duplicate:
                         self.messages.append(message)
 
+    def disturb(self, rng):
+        """Does one random thing to one instance, or asks all of them."""
+        name = rng.choice(NAMES)
+        life = self.lives[name]
+        match rng.randrange(16):
+            case 0 | 1 | 2:
+                self.isolate(name)
+            case 3 | 4:
+                self.cuts.clear()
+            case 5:
+                life.crash()
+                life.start()
+            case 6 | 7:
+                life.compact()
+            case 8:
+                self.freeze_leader()
+            case 9 | 10:
+                self.thaw(rng)
+            case 11:
+                self.lose_disk(name)
+            case _:
+                for other in NAMES:
+                    self.propose(other)
+
+    def isolate(self, name):
+        """Cuts one instance off and reconnects the others."""
+        others = [other for other in NAMES if other != name]
+        self.cuts = {(name, other) for other in others}
+        self.cuts |= {(other, name) for other in others}
+
+    def freeze_leader(self):
+        leader = self.leader()
+        if leader is not None:
+            self.frozen.add(leader.identity.name)
+
+    def thaw(self, rng):
+        """Lets frozen instances run; a read arrives before what waited."""
+        thawed, self.frozen = sorted(self.frozen), set()
+        for name in thawed or NAMES:
+            self.read(name, at_once=rng.random() < 0.5)
+        batch, self.messages = self.messages, []
+        rng.shuffle(batch)
+        for message in batch:
+            self.deliver(message)
+
     def join(self):
         for life in self.lives.values():
             raft = life.raft
@@ -265,15 +346,15 @@
 
     @stateful.rule(
         seed=strategies.integers(0, 1 << 16),
-        steps=strategies.integers(1, 100),
+        steps=strategies.integers(1, 200),
         drop=strategies.sampled_from((0.0, 0.0, 0.1, 0.4)),
         duplicate=strategies.sampled_from((0.0, 0.2)),
         keep=strategies.sampled_from((0.0, 0.5)),
-        restart=strategies.sampled_from((0.0, 0.0, 0.05)),
+        disturb=strategies.sampled_from((0.0, 0.05, 0.1)),
     )
-    def run_for(self, seed, steps, drop, duplicate, keep, restart):
+    def run_for(self, seed, steps, drop, duplicate, keep, disturb):
         rng = random.Random(seed)
-        self.cluster.run(steps * STEP_MS, rng, drop, duplicate, keep, restart)
+        self.cluster.run(steps * STEP_MS, rng, drop, duplicate, keep, disturb)
 
     @stateful.rule()
     def elect(self):
@@ -296,26 +377,15 @@
 
     @stateful.rule(name=name)
     def isolate(self, name):
-        for other in NAMES:
-            self.cluster.cuts |= {(name, other), (other, name)}
+        self.cluster.isolate(name)
 
     @stateful.rule()
     def freeze_leader(self):
-        leader = self.cluster.leader()
-        if leader is not None:
-            self.cluster.frozen.add(leader.identity.name)
+        self.cluster.freeze_leader()
 
-    @stateful.rule(at_once=strategies.booleans(), seed=strategies.integers())
-    def thaw(self, at_once, seed):
-        # A read arrives before the messages that waited, and before a tick.
-        cluster = self.cluster
-        thawed, cluster.frozen = sorted(cluster.frozen), set()
-        for name in thawed:
-            cluster.read(name, at_once)
-        batch, cluster.messages = cluster.messages, []
-        random.Random(seed).shuffle(batch)
-        for message in batch:
-            cluster.deliver(message)
+    @stateful.rule(seed=strategies.integers(0, 1 << 16))
+    def thaw(self, seed):
+        self.cluster.thaw(random.Random(seed))
 
     @stateful.rule()
     def reconnect(self):
@@ -345,15 +415,7 @@
 
     @stateful.rule(name=name)
     def compact(self, name):
-        life = self.cluster.lives[name]
-        if life.raft is not None and life.applied:
-            index = life.raft.commit
-            if index > life.raft.log.snapshot.index:
-                data = msgpack.packb(life.applied)
-                try:
-                    life.store.compact(life.raft.compact(index, data))
-                except disk_lib.DiskFault:
-                    life.crash()
+        self.cluster.lives[name].compact()
 
     @stateful.rule()
     def transfer(self):
@@ -382,7 +444,7 @@
 
 TestRaftMachine = RaftMachine.TestCase
 TestRaftMachine.settings = hypothesis.settings(
-    max_examples=60,
-    stateful_step_count=30,
+    max_examples=80,
+    stateful_step_count=25,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
--- a/auburnway/core/raft_test.py
+++ b/auburnway/core/raft_test.py
@@ -17,6 +17,17 @@
     return cluster, cluster.leader()
 
 
+@pytest.mark.parametrize("disturb", [0.05, 0.1])
+def test_close_faults_break_no_promise(disturb):
+    # Guards against faults that need several others just before them, which
+    # the rule-based model seldom lines up.
+    for seed in range(75):
+        rng = random.Random(seed)
+        drop = rng.choice((0.0, 0.0, 0.1))
+        duplicate, keep = rng.choice((0.0, 0.2)), rng.choice((0.0, 0.5))
+        model.Cluster().run(15_000.0, rng, drop, duplicate, keep, disturb)
+
+
 def test_second_loss_right_after_a_repair():
     # Guards against counting a replacement before it holds every entry.
     cluster, leader = _elected()
