--- a/auburnway/kernel/process.py
+++ b/auburnway/kernel/process.py
@@ -65,6 +65,9 @@
     def stop(self) -> None:
         """Ends the loop."""
         self.root.stop()
+        # A call from a timer comes just before the poller waits, which would
+        # put off the end until the next readable socket.
+        self.poller.resume()
 
 
 class _Root(circuits.BaseComponent):
@@ -83,7 +86,11 @@
 
     @core.handler("exception", channel="*", priority=100)
     def _on_exception(self, kind, value, traceback, **_):
-        # circuits goes on silently after a handler raised.
-        loguru.logger.opt(exception=(kind, value, traceback)).error(
-            "unexpected exception in an event handler"
+        # circuits goes on silently after a handler raised, and passes the
+        # traceback as formatted lines.
+        loguru.logger.error(
+            "unexpected exception in an event handler",
+            exception_type=kind.__name__,
+            exception_text=str(value),
+            traceback="".join(traceback),
         )
--- /dev/null
+++ b/auburnway/policy/admission_test.py
@@ -0,0 +1,232 @@
+"""Tests of admission: order, floors, fairness, refusal and bookkeeping."""
+
+import collections
+import math
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from auburnway.core import clock
+from auburnway.core import configuration
+from auburnway.policy import admission
+from auburnway.policy import flood_driver_test as driver
+
+RANKS = driver.RANKS
+
+
+@pytest.mark.parametrize("permits", [1, 2, 2.14, 3])
+def test_floods(permits):
+    # Guards against bulk work that delays urgent work, a rank that is starved
+    # below its floor, and answers that come too late, at few permits.
+    calm, bulk, urgent = (
+        driver.one_entry(permits, load).measure(60_000)
+        for load in (driver.CALM, driver.BULK_FLOOD, driver.URGENT_FLOOD)
+    )
+    for name, fleet in (("calm", calm), ("bulk", bulk), ("urgent", urgent)):
+        print(f"{permits} permits, {name}: {fleet}")
+    assert bulk.figures("urgent")[0] >= 0.99
+    assert bulk.figures("urgent")[2] <= 1.5 * calm.figures("urgent")[2]
+    for fleet in (bulk, urgent):
+        assert fleet.figures("normal")[1] >= 0.18
+        assert fleet.figures("bulk")[1] >= 0.09
+        assert fleet.max_in_flight <= math.ceil(permits)
+    in_time_ms = sum(urgent.good.values()) * driver.SERVICE_MS
+    assert in_time_ms >= 0.9 * urgent.slot_ms
+
+
+def test_a_rank_without_floor_is_not_starved():
+    # Guards against a release note without floors that stops a rank.
+    fleet = driver.one_entry(2, driver.URGENT_FLOOD)
+    ranks = [configuration.Rank(r.name, r.order, 0.0, 100.0) for r in RANKS]
+    fleet.entries[0].reconfigure(ranks, {})
+    fleet.measure(5_000).measure(60_000)
+    assert fleet.figures("bulk")[1] >= 0.9 * admission.MIN_FLOOR_SHARE
+
+
+@pytest.mark.parametrize("load", [driver.BULK_FLOOD, driver.URGENT_FLOOD])
+def test_latency_is_calm_2_s_after_a_flood(load):
+    # Guards against queues that outlast the flood.
+    fleet = driver.one_entry(3, load).measure(30_000)
+    fleet.loads = [driver.CALM]
+    after = fleet.measure(2_000).measure(5_000).figures("urgent")[2]
+    calm = driver.one_entry(3, driver.CALM).measure(60_000)
+    assert after <= 1.2 * calm.figures("urgent")[2]
+
+
+class Bench:
+    """One entry whose queries all run for 10 ms, one after another."""
+
+    def __init__(self, permits, shares=None):
+        self.clock = clock.ManualClock()
+        self.entry = admission.Admission(RANKS, shares or {}, 0.0)
+        self.entry.set_limit(permits)
+        self.running = collections.deque()
+
+    def offer(self, rank, count, caller="a"):
+        for number in range(count):
+            name = f"{rank}-{caller}-{number}"
+            answer = self.entry.offer(
+                name, rank, caller, math.inf, self.clock.now_ms()
+            )
+            if answer == admission.ADMITTED:
+                self.running.append(name)
+        return answer
+
+    def run(self, count):
+        """Returns how many queries of each rank and caller started."""
+        order = []
+        while self.running and len(order) < count:
+            self.clock.advance(10.0)
+            self.entry.finish(self.running.popleft(), self.clock.now_ms())
+            started, _ = self.entry.poll(self.clock.now_ms())
+            order += [name.rpartition("-")[0] for name in started]
+            self.running.extend(started)
+        return order[:1], collections.Counter(order)
+
+
+def test_a_lent_share_is_taken_back_at_once():
+    # Guards against a rank that waits although its floor was lent, and against
+    # one that is repaid the idle time: it gets the next permit that frees,
+    # and no more than its floor from then on.
+    bench = Bench(2)
+    bench.offer("urgent", 201)
+    bench.run(50)
+    bench.offer("normal", 50)
+    first, counts = bench.run(50)
+    assert first == ["normal-a"]
+    assert 9 <= counts["normal-a"] <= 11
+
+
+def test_use_above_the_floor_is_not_held_against_a_rank_for_long():
+    # Guards against a rank that is shut out by a flood of urgent work because
+    # it used idle permits before: it has its floor again after 1 s.
+    bench = Bench(2)
+    for _ in range(10):
+        bench.offer("bulk", 201)
+        bench.run(201)
+    bench.offer("bulk", 100)
+    bench.offer("urgent", 201)
+    bench.run(100)
+    assert 5 <= bench.run(60)[1]["bulk-a"] <= 7
+
+
+def test_callers_of_a_rank_are_served_by_share():
+    # Guards against a caller that takes the whole rank by sending more.
+    bench = Bench(1, {"small": 1.0, "large": 3.0})
+    bench.offer("bulk", 100, "small")
+    bench.offer("bulk", 60, "large")
+    assert 29 <= bench.run(40)[1]["bulk-large"] <= 31
+
+
+def test_a_full_queue_makes_room_for_a_caller_below_its_share():
+    # Guards against a caller whose waiting work keeps all others out.
+    bench = Bench(1)
+    assert bench.offer("bulk", 202).reason == "queue_limit"
+    assert bench.offer("bulk", 1, "b") == admission.QUEUED
+    assert bench.entry.poll(0.0) == ((), (("bulk-a-200", "displaced"),))
+
+
+def test_a_query_that_would_wait_too_long_is_refused_early():
+    # Guards against queries that wait although they cannot be in time, and
+    # against refusing those that can.
+    bench = Bench(1)
+    bench.offer("urgent", 20)
+    bench.run(10)
+    # One runs and nine wait, each for 10 ms.
+    late = bench.entry.offer("late", "urgent", "a", 160.0, 100.0)
+    assert (late.reason, late.retry_after_ms) == ("expected_wait", 100.0)
+    in_time = bench.entry.offer("in-time", "urgent", "a", 280.0, 100.0)
+    assert in_time == admission.QUEUED
+
+
+def test_waiting_work_past_its_deadline_is_dropped():
+    # Guards against a permit spent on an answer that comes too late.
+    bench = Bench(1)
+    bench.offer("urgent", 1)
+    bench.entry.offer("waiting", "urgent", "a", 100.0, 0.0)
+    bench.entry.finish("urgent-a-0", 80.0)
+    # The mean running time is 80 ms, so 20 ms are not enough.
+    assert bench.entry.poll(80.0) == ((), (("waiting", "deadline"),))
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Any order of calls keeps the books of the entry right."""
+
+    # Guards against a query that is lost, started twice, or started above
+    # the limit, also when ranks are withdrawn and return.
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0.0
+        self.entry = admission.Admission(RANKS, {}, 0.0)
+        self.permits = 1.0
+        self.waiting, self.running = set(), set()
+        self.count = 0
+
+    @stateful.rule(
+        rank=st.sampled_from([r.name for r in RANKS] + ["unknown"]),
+        caller=st.sampled_from("abc"),
+        left_ms=st.sampled_from([0.0, 50.0, 3000.0]),
+        number=st.integers(1, 4),
+    )
+    def offer(self, rank, caller, left_ms, number):
+        for _ in range(number):
+            self.count += 1
+            name = f"q{self.count}"
+            answer = self.entry.offer(
+                name, rank, caller, self.now_ms + left_ms, self.now_ms
+            )
+            if answer == admission.ADMITTED:
+                self.running.add(name)
+                assert len(self.running) <= math.ceil(self.permits)
+            elif answer == admission.QUEUED:
+                self.waiting.add(name)
+
+    @stateful.rule(step_ms=st.sampled_from([0.0, 20.0, 500.0]))
+    def poll(self, step_ms):
+        self.now_ms += step_ms
+        started, dropped = self.entry.poll(self.now_ms)
+        gone = [*started, *(name for name, _ in dropped)]
+        assert len(gone) == len(set(gone)) and set(gone) <= self.waiting
+        self.waiting -= set(gone)
+        self.running |= set(started)
+        assert not started or len(self.running) <= math.ceil(self.permits)
+        # A permit is not left free while a query waits.
+        assert not self.waiting or len(self.running) >= int(self.permits)
+
+    @stateful.precondition(lambda self: self.waiting or self.running)
+    @stateful.rule(data=st.data(), is_cancelled=st.booleans())
+    def end(self, data, is_cancelled):
+        every = self.running | (self.waiting if is_cancelled else set())
+        if every:
+            name = data.draw(st.sampled_from(sorted(every)))
+            self.waiting.discard(name)
+            self.running.discard(name)
+            if is_cancelled:
+                self.entry.cancel(name)
+            self.entry.finish(name, self.now_ms)
+
+    @stateful.rule(permits=st.sampled_from([0.0, 1.0, 1.5, 2.5, 4.0]))
+    def set_limit(self, permits):
+        self.permits = max(1.0, permits)
+        self.entry.set_limit(permits)
+
+    @stateful.rule(count=st.integers(1, 3), limit=st.integers(1, 5))
+    def reconfigure(self, count, limit):
+        ranks = [
+            configuration.Rank(r.name, r.order, r.floor_share, 100.0, limit)
+            for r in RANKS[:count]
+        ]
+        self.entry.reconfigure(ranks, {"a": 2.0})
+
+    @stateful.invariant()
+    def counts_agree(self):
+        demand = self.entry.demand().values()
+        displaced = len(self.entry._displaced)
+        assert sum(w for w, _ in demand) + displaced == len(self.waiting)
+        assert sum(r for _, r in demand) == len(self.running)
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = hypothesis.settings(max_examples=300)
--- /dev/null
+++ b/auburnway/policy/replica_choice_test.py
@@ -0,0 +1,171 @@
+"""Tests of replica choice on simulated backend servers."""
+
+import collections
+import heapq
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from auburnway.core import membership
+from auburnway.kernel import registry
+from auburnway.policy import baselines
+from auburnway.policy import replica_choice
+
+
+def row(name, data_center="here"):
+    state = membership.State.SERVING
+    return membership.Row(
+        name, 1, 1, "app", "ip:1", data_center, state, 5, 40, (), ()
+    )
+
+
+ROWS = tuple(row(name) for name in "abc")
+
+
+class Driver:
+    """Sends 100 sub-requests a second; `a` is odd and reports idle.
+
+    `behaviour` of `a` is (mean latency in ms, ok); a latency of None is a
+    server that does not reply, which is given up after 60 ms.
+    """
+
+    def __init__(
+        self, behaviour=(10.0, True), make=replica_choice.Chooser, seed=7
+    ):
+        self.rng = random.Random(seed)
+        self.chooser = make(self.rng, "here")
+        self.behaviour = behaviour
+        self.now_ms = 0.0
+        self.pending = []
+
+    def run(self, duration_ms):
+        """Returns the share of sub-requests that `a` received."""
+        counts = collections.Counter()
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += self.rng.expovariate(0.1)
+            while self.pending and self.pending[0][0] <= self.now_ms:
+                self.complete(*heapq.heappop(self.pending))
+            name = self.chooser.choose(ROWS, (), self.now_ms).name
+            counts[name] += 1
+            self.chooser.started(name, self.now_ms)
+            odd = self.behaviour if name == "a" else (10.0, True)
+            wait_ms = self.rng.expovariate(1.0 / odd[0]) if odd[0] else 60.0
+            entry = (self.now_ms + wait_ms, name, wait_ms, odd)
+            heapq.heappush(self.pending, entry)
+        return counts["a"] / sum(counts.values())
+
+    def complete(self, at_ms, name, wait_ms, odd):
+        if odd[0] is None:
+            self.chooser.abandoned(name, at_ms)
+        else:
+            busy = 0 if name == "a" else 2
+            self.chooser.finished(name, wait_ms, odd[1], at_ms, busy)
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [(100.0, True), (0.2, False), (None, True)],
+    ids=["slow", "fails-fast", "silent"],
+)
+def test_a_bad_server_that_reports_idle_loses_traffic(behaviour):
+    # Guards against trust in reported load, errors that look like quick
+    # replies, and a server that stays unmeasured since it never replies.
+    share = Driver(behaviour).run(30_000)
+    baseline = Driver(behaviour, baselines.RoundRobin).run(30_000)
+    print(f"{behaviour}: share {share:.3f}, round robin {baseline:.3f}")
+    assert share < 0.02
+
+
+@pytest.mark.parametrize("behaviour", [(200.0, True), (0.2, False)])
+def test_a_server_that_recovered_gets_traffic_again(behaviour):
+    # Guards against an old estimate that keeps a server out for good.
+    driver = Driver(behaviour)
+    driver.run(10_000)
+    driver.behaviour = (10.0, True)
+    shares = [driver.run(8_000), driver.run(20_000)]
+    print(f"recovery from {behaviour}: shares {shares}")
+    assert shares[1] > 0.25
+
+
+def test_a_cold_server_ramps_up_in_five_seconds():
+    # Guards against a cold server that gets its whole share at once, and
+    # against one that never gets it.
+    shares = collections.Counter()
+    for seed in range(20):
+        driver = Driver(seed=seed)
+        driver.run(5_000)
+        driver.chooser.added("a", driver.now_ms)
+        for second in range(8):
+            shares[second] += driver.run(1_000) / 20
+    print("ramp by second:", *(f"{share:.2f}" for share in shares.values()))
+    # At most half of a fair share in the first second.
+    assert shares[0] < 0.17
+    assert shares[0] < shares[2] < shares[4] < shares[6] + 0.03
+    assert min(shares[5], shares[6], shares[7]) > 0.28
+
+
+def test_a_server_that_refused_is_avoided_briefly():
+    # Guards against a full server that is asked again at once.
+    chooser = replica_choice.Chooser(random.Random(1), "here")
+    chooser.started("a", 0.0)
+    chooser.shed("a", 1.0)
+    for now_ms, names in ((50.0, set("bc")), (200.0, set("abc"))):
+        many = range(50)
+        assert {chooser.choose(ROWS, (), now_ms).name for _ in many} == names
+    # It is still better than none.
+    assert chooser.choose(ROWS, {"b", "c"}, 50.0).name == "a"
+
+
+def test_distance_and_reports_decide_ties():
+    # Guards against needless distance, and against a report that is not used
+    # when all else is equal.
+    chooser = replica_choice.Chooser(random.Random(1), "here")
+    far = (row("a", "far"), row("b"))
+    assert {chooser.choose(far, (), 0.0).name for _ in range(9)} == {"b"}
+    for name, busy in (("a", 1), ("b", 4), ("c", 1)):
+        chooser.started(name, 0.0)
+        chooser.finished(name, 10.0, True, 10.0, busy)
+    assert {chooser.choose(far, (), 10.0).name for _ in range(9)} == {"b"}
+    near = ROWS[1:]
+    assert {chooser.choose(near, (), 10.0).name for _ in range(9)} == {"c"}
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.sampled_from("sfeaxgn"), st.sampled_from("abc"))),
+    st.frozensets(st.sampled_from("abc")),
+    st.sampled_from(["two_choices", "round_robin"]),
+)
+def test_books_and_exclusion_hold_in_any_order(steps, exclude, name):
+    # Guards against in-flight counts that drift, and against a second attempt
+    # on a server that was tried already.
+    chooser = registry.get("replica_choice", name)(random.Random(1), "here")
+    in_flight = collections.Counter()
+    for now_ms, (step, server) in enumerate(steps):
+        if step == "s":
+            chooser.started(server, now_ms)
+            in_flight[server] += 1
+        elif step == "n":
+            chooser.added(server, now_ms)
+        elif step == "g":
+            chooser.forget(server)
+            in_flight[server] = 0
+        else:
+            if step in "fe":
+                chooser.finished(server, 1.0, step == "f", now_ms, None)
+            elif step == "a":
+                chooser.abandoned(server, now_ms)
+            else:
+                chooser.shed(server, now_ms)
+            in_flight[server] = max(0, in_flight[server] - 1)
+        assert chooser.in_flight(server) == in_flight[server]
+        chosen = chooser.choose(ROWS, exclude, now_ms)
+        assert (chosen is None) == (len(exclude) == len(ROWS))
+        assert chosen is None or chosen.name not in exclude
+    # Late replies do not bring back a server that is gone.
+    for server in "abc":
+        chooser.forget(server)
+        chooser.finished(server, 1.0, False, 100.0, None)
+        assert chooser.latency_ms(server) <= replica_choice.DEFAULT_LATENCY_MS
