Count lent leases before a release note is called in force everywhere

Cause: an entry without a lease of its own may serve under one that a peer lent it before the peer learned of the new number; the leader did not count that. Ruled out: dropping lent leases; an entry cut off from control only would then stop although it has the newest configuration. Change: an entry that has not acknowledged counts as behind for one lease after acceptance. Figures: test_in_force_waits_for_leases_that_peers_have_lent fails without it.

--- a/auburnway/control/entries.py
+++ b/auburnway/control/entries.py
@@ -75,6 +75,9 @@
         self._is_changing = False
         # Audit revision up to which the entry set revision is known.
         self._set_revision = (0, 0)
+        # Greatest number that was applied here, and when.
+        self._number = 0
+        self._accepted_ms = float("-inf")
         timers.every(MAINTENANCE_PERIOD_MS, self._maintain)
 
     def on_role(self) -> None:
@@ -92,6 +95,10 @@
 
     def on_applied(self) -> None:
         """Answers held renewals to which the state has news."""
+        number = self._node.state.configuration.number
+        if number > self._number:
+            self._number = number
+            self._accepted_ms = self._clock.now_ms()
         for poll in tuple(self._polls):
             if self._has_news(poll):
                 self._answer_poll(poll)
@@ -149,13 +156,17 @@
         majority of which nobody knows a higher number (design, 8.1).
         """
         state, number = self._node.state, self._node.state.configuration.number
+        # An entry without a lease of its own may serve under one that a peer
+        # lent it before the peer learned of this number.
+        lent_ms = self._accepted_ms + leases_lib.LEASE_MS
+        may_be_lent = self._clock.now_ms() < lent_ms
         rows, acknowledged, behind = [], 0, 0
         for entry in state.entries.values():
             lease = self._leases.find(entry.name, entry.incarnation)
             left_ms = self._leases.left_ms(entry.name)
             entry_number = lease.number if lease is not None else 0
             acknowledged += entry_number >= number
-            behind += entry_number < number and left_ms > 0
+            behind += entry_number < number and (left_ms > 0 or may_be_lent)
             rows.append(
                 pb.EntryState(
                     name=entry.name,
@@ -168,7 +179,8 @@
                     leaving=lease is not None and lease.leaving,
                 )
             )
-        is_settled = self._clock.now_ms() >= self._leases.settled_ms
+        now_ms = self._clock.now_ms()
+        is_settled = now_ms >= self._leases.settled_ms
         has_majority = not rows or acknowledged * 2 > len(rows)
         everywhere = has_majority and not behind
         if not rows:
--- a/auburnway/control/operations_test.py
+++ b/auburnway/control/operations_test.py
@@ -146,6 +146,26 @@
     assert everywhere()
 
 
+def test_in_force_waits_for_leases_that_peers_have_lent(control):
+    # Guards against "in force everywhere" while an entry without a lease of
+    # its own serves the old number under one that a peer lent it.
+    control.run(1600.0)
+    control.add_entries("e1", "e2", "e3")
+    for _ in range(6):
+        control.run(300.0)
+        for name in ("e1", "e2"):
+            control.renew(name)
+    assert not _codes(control.accept(1))
+    for name in ("e1", "e2"):
+        control.renew(name, number=1)
+    assert not control.call("in_force", pb.ReadRequest()).everywhere
+    for _ in range(6):
+        control.run(300.0)
+        for name in ("e1", "e2"):
+            control.renew(name, number=1)
+    assert control.call("in_force", pb.ReadRequest()).everywhere
+
+
 def test_poll_is_answered_by_a_new_number(control):
     # Guards against entries that learn of a note only at their next poll.
     control.add_entries("e1")
