End kept connections of a leaving entry with their next response

Cause: a caller on a kept connection goes on using a leaving entry beyond the time to live of its addresses, and is cut off when the process ends. Ruled out: waiting until all callers close; a busy one never does. Change: responses of a leaving entry close their connection; when the listener closes, idle connections do too; requests being read count as pending.

--- a/auburnway/entry/front.py
+++ b/auburnway/entry/front.py
@@ -85,6 +85,7 @@
         self._clock = clock
         self._routes = routes
         self._clients: dict = {}
+        self._is_closing = False
         host, _, port = settings.address.rpartition(":")
         self._server = web.BaseServer(
             (host, int(port)), display_banner=False
@@ -92,15 +93,29 @@
         timers.every(SWEEP_PERIOD_MS, self._sweep)
 
     def pending_count(self) -> int:
-        """Returns how many requests have no response yet."""
-        return sum(client.pending for client in self._clients.values())
+        """Returns how many requests are being read or have no response."""
+        return sum(
+            client.pending or client.first_byte_ms is not None
+            for client in self._clients.values()
+        )
+
+    def close_after_response(self) -> None:
+        """Ends each connection with its next response.
+
+        A caller that keeps a connection would otherwise go on using it
+        beyond the time to live of its addresses.
+        """
+        self._is_closing = True
 
     def stop_accepting(self) -> None:
-        """Closes the listener; open connections go on."""
+        """Closes the listener and idle connections; the others go on."""
         server = self._server.server
         listener = server._sock
         server._poller.discard(listener)
         listener.close()
+        for sock, client in tuple(self._clients.items()):
+            if not client.pending and client.first_byte_ms is None:
+                self.fire(net_events.close(sock))
 
     @core.handler("ready", priority=10)
     def _on_ready(self, event, *_):
@@ -188,6 +203,8 @@
         client.pending = False
         client.last_ms = self._clock.now_ms()
         response.status = rendered.status
+        if self._is_closing:
+            response.close = True
         response.headers["Content-Type"] = rendered.content_type
         if rendered.retry_after_ms is not None:
             seconds = max(1, round(rendered.retry_after_ms / 1000.0))
--- a/auburnway/entry/front_test.py
+++ b/auburnway/entry/front_test.py
@@ -9,6 +9,7 @@
 from auburnway.demo import fleet
 from auburnway.entry import front as front_lib
 from auburnway.entry import settings as settings_lib
+from auburnway.kernel import mailbox as mailbox_lib
 from auburnway.kernel import process
 
 TIMEOUT_S = 10.0
@@ -18,8 +19,8 @@
     respond(answer_lib.Rendered(200, json.dumps({"size": len(body)}).encode()))
 
 
-@pytest.fixture(name="address")
-def fixture_address():
+@pytest.fixture(name="served")
+def fixture_served():
     (port,) = fleet.free_ports(1)
     settings = settings_lib.EntrySettings(
         name="e",
@@ -35,16 +36,22 @@
         idle_connection_ms=1000.0,
     )
     loop = process.Loop(clock_lib.SystemClock())
-    front_lib.Front(
+    front = front_lib.Front(
         settings, loop.clock, loop.timers, {("POST", "/v1/x"): echo}
     ).register(loop.root)
+    mailbox = mailbox_lib.Mailbox().register(loop.root)
     thread = threading.Thread(target=loop.run, daemon=True)
     thread.start()
-    yield ("127.0.0.1", port)
+    yield ("127.0.0.1", port), front, mailbox
     loop.stop()
     thread.join(TIMEOUT_S)
 
 
+@pytest.fixture(name="address")
+def fixture_address(served):
+    return served[0]
+
+
 def exchange(address, data):
     """Sends bytes and returns all that comes until the server closes."""
     with socket.create_connection(address, TIMEOUT_S) as sock:
@@ -116,3 +123,18 @@
     assert exchange(address, request()) == b""
     for sock in held:
         sock.close()
+
+
+def test_leaving_entry_ends_kept_connections_after_their_response(served):
+    # Guards against a caller that keeps using a leaving entry until the
+    # process ends and cuts it off.
+    address, front, mailbox = served
+    data = request().replace(b"Connection: close\r\n", b"")
+    with socket.create_connection(address, TIMEOUT_S) as sock:
+        mailbox.post(front.close_after_response)
+        sock.sendall(data)
+        received = b""
+        while chunk := sock.recv(65536):
+            received += chunk
+    assert b'"size": 2' in received
+    assert b"onnection: close" in received
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -429,6 +429,7 @@
         loguru.logger.info("leaving")
         self._leaving = True
         self._share()
+        self._front.close_after_response()
         self._loop.timers.after(
             self._settings.address_ttl_ms, self._stop_accepting
         )
