Freeze the leader in the process test

Cause: a control instance that is silent for long and then wakes up was only tried in the model. Change: the process test stops the leader by SIGSTOP, accepts a note, and lets the old leader go on, which must then hold the new number.

--- a/auburnway/control/main_test.py
+++ b/auburnway/control/main_test.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import resource
+import signal
 import socket
 import subprocess
 import sys
@@ -178,10 +179,17 @@
         _poll(is_repaired)
         assert group.status(client, killed).number == 2
 
+        # A leader that is frozen silently and wakes up later.
+        frozen = group.leader(client)
+        group.processes[frozen].send_signal(signal.SIGSTOP)
+        _accept(client, 3)
+        group.processes[frozen].send_signal(signal.SIGCONT)
+        _poll(lambda: group.status(client, frozen).number == 3)
+
         stopped = group.leader(client)
         group.processes[stopped].terminate()
         assert group.processes[stopped].wait(LIMIT_S) == 0
-        _accept(client, 3)
+        _accept(client, 4)
 
 
 def test_file_size_limit_stops_the_process_and_keeps_all_receipts(make_group):
