Let a learner whose addition was replaced join again

Cause: a learner took the member set in its log for granted and stopped asking to join. When the entry that added it was replaced by a later leader's, that leader did not know it and it waited for good. Ruled out: a longer wait; 60 s more changed nothing. Change: a learner that hears no leader asks to join. Every seeded run in the tests now ends with recovery, and a scripted test holds the found order. Conclusion: fixed.

--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -26,7 +26,7 @@
 from auburnway.storage import disk as disk_lib
 
 TICK_MS = 25.0
-# An instance without members asks one other instance to let it join.
+# A learner without a leader asks one other instance to let it join.
 JOIN_PERIOD_MS = 500.0
 # Half of the least election timeout.
 SLOW_SYNC_MS = 250.0
@@ -397,8 +397,7 @@
         link.send(message)
 
     def _join_if_needed(self) -> None:
-        is_member = self.raft.member(self.identity.incarnation) is not None
-        if not is_member and not self._is_stopped:
+        if self.raft.needs_join() and not self._is_stopped:
             self._join()
 
     def _close_links(self) -> None:
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -115,6 +115,16 @@
         silent_ms = self._clock.now_ms() - self._heard_ms
         return bool(self.leader) and silent_ms < self.config.election_min_ms
 
+    def needs_join(self) -> bool:
+        """Whether this node should ask the leader to let it join.
+
+        Being in the member set that it knows is not enough: the entry that
+        added it may have been replaced by a later leader's, which then does
+        not know it and sends it nothing.
+        """
+        is_learner = self.role is records.Role.LEARNER
+        return is_learner and not self.hears_leader()
+
     def step(self, message: records.Message) -> records.Output:
         """Handles one received message."""
         if message.target == self.config.incarnation and self._admits(message):
--- a/auburnway/core/raft_model_test.py
+++ b/auburnway/core/raft_model_test.py
@@ -275,8 +275,7 @@
 
     def join(self):
         for life in self.lives.values():
-            raft = life.raft
-            if raft is None or raft.member(life.identity.incarnation):
+            if life.raft is None or not life.raft.needs_join():
                 continue
             for other in self.lives.values():
                 is_cut = (life.identity.name, other.identity.name) in self.cuts
@@ -336,6 +335,24 @@
             if life.raft is None:
                 life.start()
 
+    def recover(self):
+        """Ends all faults; then all must work again, if it can at all."""
+        self.heal()
+        if not self.can_elect():
+            return
+        self.run(20_000.0)
+        leader = self.leader()
+        assert leader is not None, "no leader after all was healed"
+        data = self.propose(leader.identity.name)
+        assert data is not None
+        self.run(2000.0)
+        current = {life.identity.incarnation for life in self.lives.values()}
+        for life in self.lives.values():
+            assert data in [row[1] for row in life.applied]
+            # Every lost disk is replaced.
+            voters = {m.incarnation for m in life.raft.members if m.voter}
+            assert voters == current, "a lost disk is not replaced"
+
 
 class RaftMachine(stateful.RuleBasedStateMachine):
     def __init__(self):
@@ -424,22 +441,7 @@
             leader.act(lambda raft: raft.transfer())
 
     def teardown(self):
-        cluster = self.cluster
-        cluster.heal()
-        if not cluster.can_elect():
-            return
-        cluster.run(20_000.0)
-        leader = cluster.leader()
-        assert leader is not None, "no leader after all was healed"
-        data = cluster.propose(leader.identity.name)
-        assert data is not None
-        cluster.run(2000.0)
-        current = {life.identity.incarnation for life in cluster.lives.values()}
-        for life in cluster.lives.values():
-            assert data in [row[1] for row in life.applied]
-            # Every lost disk is replaced.
-            voters = {m.incarnation for m in life.raft.members if m.voter}
-            assert voters == current
+        self.cluster.recover()
 
 
 TestRaftMachine = RaftMachine.TestCase
--- a/auburnway/core/raft_test.py
+++ b/auburnway/core/raft_test.py
@@ -25,7 +25,9 @@
         rng = random.Random(seed)
         drop = rng.choice((0.0, 0.0, 0.1))
         duplicate, keep = rng.choice((0.0, 0.2)), rng.choice((0.0, 0.5))
-        model.Cluster().run(15_000.0, rng, drop, duplicate, keep, disturb)
+        cluster = model.Cluster()
+        cluster.run(15_000.0, rng, drop, duplicate, keep, disturb)
+        cluster.recover()
 
 
 def test_second_loss_right_after_a_repair():
@@ -120,6 +122,32 @@
     assert granted == [True, False]
 
 
+def test_learner_whose_addition_was_replaced_joins_again():
+    # Guards against an instance that waits for good, because a leader that
+    # had already been replaced told it that it is a member.
+    cluster, old = _elected()
+    cluster.frozen = {old.identity.name}
+    cluster.run(3000.0)
+    new = cluster.leader()
+    lost = {old.identity.name, new.identity.name}.symmetric_difference(
+        model.NAMES
+    ).pop()
+    cluster.lose_disk(lost)
+    cluster.messages.clear()
+    cluster.frozen.clear()
+    cluster.isolate(new.identity.name)
+    # The old leader handles this before its first tick, so it still leads.
+    cluster.join()
+    for _ in range(6):
+        batch, cluster.messages = cluster.messages, []
+        for message in batch:
+            cluster.deliver(message)
+    incarnation = cluster.lives[lost].identity.incarnation
+    assert cluster.lives[lost].raft.member(incarnation) is not None
+    assert new.raft.member(incarnation) is None
+    cluster.recover()
+
+
 def test_disk_loss_of_a_live_name_is_not_repaired_twice():
     # Guards against a second process with the same name and an empty folder
     # that would push out the voter that still answers.
