Say which backend servers an entry lacks when a bench fleet is not ready

Ruled out: a longer wait; the machine was at load 23 of 10 cores, but 30 s is far above the usual 5 s, so the next case should show what was missing. Change: the error names the backend servers that the entry does not list as serving, or the missing lease.

--- a/auburnway/load/bench_fleet.py
+++ b/auburnway/load/bench_fleet.py
@@ -54,7 +54,7 @@
         self._fleet = fleet_lib.Fleet(site, folder)
         self.entry_addresses = [m.address for m in self._fleet.entries]
         self.standin_controls: list[str] = []
-        self._server_count = 0
+        self._server_names: list[str] = []
         self._refusal = ""
         self._lay_out_servers(folder)
 
@@ -77,7 +77,6 @@
             for shard in range(application.services)
             for replica in range(application.backend_servers)
         ]
-        self._server_count = len(places)
         ports = iter(
             fleet_lib.free_ports(len(places) + shape.standin_processes)
         )
@@ -105,8 +104,10 @@
 
     def _server(self, application, shard, replica, address) -> dict:
         centers = self._shape.data_centers
+        name = f"{application.name}-{shard + 1}-{replica + 1}"
+        self._server_names.append(name)
         return {
-            "name": f"{application.name}-{shard + 1}-{replica + 1}",
+            "name": name,
             "application": application.name,
             "address": address,
             "data_center": centers[replica % len(centers)],
@@ -144,11 +145,15 @@
             except fleet_lib.NotReady as error:
                 raise fleet_lib.NotReady(f"{error}: {self._refusal}") from None
         for entry in fleet.entries:
-            fleet.wait_for(
-                lambda entry=entry: self._is_ready(entry),
-                f"{entry.name} with the whole fleet",
-                READY_TIMEOUT_MS,
-            )
+            try:
+                fleet.wait_for(
+                    lambda entry=entry: not self._missing(entry),
+                    f"{entry.name} with the whole fleet",
+                    READY_TIMEOUT_MS,
+                )
+            except fleet_lib.NotReady as error:
+                missing = self._missing(entry) or "ready just after"
+                raise fleet_lib.NotReady(f"{error}: {missing}") from None
 
     def _initialize_control(self) -> None:
         """Prepares all control disks at once; each takes 3 s by itself."""
@@ -177,16 +182,20 @@
         )
         return not self._refusal
 
-    def _is_ready(self, entry: fleet_lib.Member) -> bool:
+    def _missing(self, entry: fleet_lib.Member) -> str:
+        """Returns what an entry lacks to serve; empty when it is ready."""
         status = self._fleet.status(entry)
-        if not status or not status["leased"]:
-            return False
-        rows = status["backend_servers"]
-        serving = sum(1 for row in rows if row["state"] == "serving")
-        return (
-            status["configuration_number"] >= 1
-            and serving == self._server_count
-        )
+        if not status:
+            return "no status"
+        serving = {
+            row["name"]
+            for row in status["backend_servers"]
+            if row["state"] == "serving"
+        }
+        lacking = [name for name in self._server_names if name not in serving]
+        if not status["leased"] or not status["configuration_number"]:
+            return "no lease or no release note"
+        return f"not serving there: {', '.join(lacking)}" if lacking else ""
 
     def schedule(
         self, kills: tuple[bench_settings.Kill, ...], start_wall_ms: float
