Name processes that ended while a bench fleet started

Ruled out: nothing yet. Change: the error names ended processes with their exit codes. Conclusion: the next case will tell.

--- a/auburnway/load/bench_fleet.py
+++ b/auburnway/load/bench_fleet.py
@@ -184,6 +184,14 @@
 
     def _missing(self, entry: fleet_lib.Member) -> str:
         """Returns what an entry lacks to serve; empty when it is ready."""
+        ended = [
+            f"{member.name} ended with {member.process.returncode}"
+            for member in self._fleet.members
+            if member.process.poll() is not None
+        ]
+        if ended:
+            # Its port may have been taken after it was found free.
+            return "; ".join(ended)
         status = self._fleet.status(entry)
         if not status:
             return "no status"
