Keep the ports of fleets that start at once apart

Cause: with three fleets starting at once, a request to the stand-in finder-1-3 was answered by a process of another fleet. free_ports let the kernel choose ports, closed them and named them in settings; until the processes listened, another fleet or an outgoing connection could get them.

Ruled out: a longer wait for the start, because the process never got its port; keeping the ports bound, because the processes must bind them.

Change: each call takes a block of ports below the range of outgoing connections and holds a guard port of it until the process ends.

Conclusion: fleets of several test processes do not share ports.

--- a/auburnway/demo/fleet.py
+++ b/auburnway/demo/fleet.py
@@ -5,8 +5,10 @@
 """
 
 import dataclasses
+import itertools
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +27,11 @@
 STOP_TIMEOUT_MS = 10_000.0
 POLL_MS = 50.0
 HTTP_TIMEOUT_MS = 3000.0
+# Blocks of ports below those that Linux gives to outgoing connections, which
+# could take the port of a process while it restarts.
+PORTS = range(10_000, 32_000, 200)
+# Bound to the first port of each block in use, until this process ends.
+_guards: list[socket.socket] = []
 
 
 class NotReady(Exception):
@@ -32,22 +39,41 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that are free for TCP and UDP now."""
-    sockets, ports = [], []
-    while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
+    """Returns loopback ports that are free for TCP and UDP now.
+
+    Each call takes a block of ports for itself until this process ends, so
+    that fleets of several processes started at once do not share a port.
+
+    Raises:
+      NotReady: There is no block with so many free ports.
+    """
+    blocks = list(PORTS)
+    random.shuffle(blocks)
+    for base in blocks:
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            udp.bind(("127.0.0.1", port))
+            guard.bind(("127.0.0.1", base))
         except OSError:
+            guard.close()
             continue
-        ports.append(port)
-    for each in sockets:
-        each.close()
-    return ports
+        ports = filter(_is_free, range(base + 1, base + PORTS.step))
+        found = list(itertools.islice(ports, count))
+        if len(found) == count:
+            _guards.append(guard)
+            return found
+        guard.close()
+    raise NotReady(f"no block of {count} free ports")
+
+
+def _is_free(port: int) -> bool:
+    """Whether a port can be bound for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 @dataclasses.dataclass
