Prove pairs of faults and notes in force everywhere

Cause: two faults at once, frozen entries that wake with requests in their sockets, and a planned stop while the leader is lost were not shown.

Ruled out: expecting a note in force everywhere while two of four entries are frozen.

--- a/auburnway/faults/bookings.py
+++ b/auburnway/faults/bookings.py
@@ -5,11 +5,11 @@
 """
 
 import collections
+from collections import abc
 from concurrent import futures
 import dataclasses
 import http.client
 import random
-import threading
 import time
 import typing
 
@@ -124,13 +124,13 @@
     deadline_ms: float = 1500.0,
     limit_s: float = 45.0,
     seed: int = 1,
-    done: threading.Event | None = None,
+    on_first: abc.Callable[[], None] | None = None,
 ) -> list[Booking]:
-    """Settles many keys at once; sets `done` when the last has begun."""
+    """Settles many keys at once; calls `on_first` after some are final."""
 
     def one(number: int) -> Booking:
-        if done is not None and number == count - 1:
-            done.set()
+        if on_first is not None and number == count // 6:
+            on_first()
         rng = random.Random(f"{seed}/{number}")
         return settle(number, addresses, rng, deadline_ms, limit_s)
 
--- a/auburnway/faults/chaos.py
+++ b/auburnway/faults/chaos.py
@@ -24,8 +24,11 @@
       done: Faults carried out, as `<fault> <process>`.
     """
 
-    def __init__(self, rig: rig_lib.Rig, seed: int = 1):
+    def __init__(
+        self, rig: rig_lib.Rig, seed: int = 1, application: str = "ledger"
+    ):
         self._rig = rig
+        self._application = application
         self._rng = random.Random(seed)
         self._stopped = threading.Event()
         self.done: list[str] = []
@@ -54,7 +57,7 @@
         return self._rig.leader()
 
     def _server(self) -> fleet_lib.Member:
-        return self._rng.choice(self._rig.application("ledger"))
+        return self._rng.choice(self._rig.application(self._application))
 
     def _kill(self, member: fleet_lib.Member) -> None:
         self._rig.fleet.kill(member)
--- /dev/null
+++ b/auburnway/faults/distribution_test.py
@@ -0,0 +1,116 @@
+"""Release notes in force everywhere, with frozen and lost instances."""
+
+from concurrent import futures
+import signal
+import time
+
+import pytest
+from returns import pipeline
+
+from auburnway.demo import fleet as fleet_lib
+from auburnway.faults import rig as rig_lib
+from auburnway.rpc import control_pb2 as pb
+
+pytestmark = pytest.mark.processes
+
+# Target 2,000 ms; wider, because the tests share the machine with others.
+IN_FORCE_BOUND_MS = 6000.0
+
+
+def _search(entry, timeout_ms=3000.0):
+    body = {
+        "caller": "desk",
+        "kind": "search",
+        "deadline_ms": 2000.0,
+        "query": {"weave": "twill"},
+    }
+    try:
+        _, answer = fleet_lib.call(
+            entry.address, "POST", "/v1/requests", body, timeout_ms=timeout_ms
+        )
+    except OSError:
+        return {"outcome": "none"}
+    return answer
+
+
+def _everywhere(rig, number):
+    """Waits until control says that a number is in force everywhere."""
+
+    def look():
+        with rig.client() as client:
+            outcome = client.call("InForce", pb.ReadRequest(), 2000.0)
+        if not pipeline.is_successful(outcome):
+            return False
+        reply = outcome.unwrap()
+        return reply.number >= number and reply.everywhere
+
+    begin_s = time.monotonic()
+    rig.fleet.wait_for(look, "in force everywhere", rig_lib.LIMIT_MS)
+    return (time.monotonic() - begin_s) * 1000.0
+
+
+FAULTS = {
+    "none": lambda rig: (),
+    "entry frozen": lambda rig: rig.fleet.entries[2:3],
+    "leader frozen": lambda rig: [rig.leader()],
+    "entry and leader frozen": lambda rig: [
+        rig.leader(),
+        rig.fleet.entries[2],
+    ],
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_no_answer_is_older_than_what_is_in_force_everywhere(rig, fault):
+    # Guards against an entry that serves an old note after control said that
+    # the new one is in force everywhere; a frozen one serves on waking what
+    # waits in its sockets.
+    start, frozen = rig.number(), FAULTS[fault](rig)
+    for member in frozen:
+        rig.fleet.signal(member, signal.SIGSTOP)
+    awake = [e for e in rig.fleet.entries if e not in frozen]
+    with futures.ThreadPoolExecutor(16) as pool:
+        try:
+            times = []
+            for number in range(start + 1, start + 4):
+                note = rig_lib.small_note(number, f"spread-{number}")
+                accept_ms = rig.apply_until_accepted(note)
+                spread_ms = _everywhere(rig, number)
+                times.append((round(accept_ms), round(spread_ms)))
+                told = [_search(entry) for entry in awake]
+                numbers = [a.get("configuration_number") for a in told]
+                assert all(n is None or n >= number for n in numbers)
+            waiting = [
+                pool.submit(_search, entry)
+                for entry in frozen
+                if entry in rig.fleet.entries
+                for _ in range(4)
+            ]
+            time.sleep(0.3)
+        finally:
+            for member in frozen:
+                rig.fleet.signal(member, signal.SIGCONT)
+        woken = [future.result() for future in waiting]
+    print(f"{fault}: accepted and in force everywhere after, ms: {times}")
+    print([a["outcome"] for a in woken])
+    numbers = [a.get("configuration_number") for a in woken]
+    assert all(n is None or n >= number for n in numbers), woken
+    assert max(spread for _, spread in times) <= IN_FORCE_BOUND_MS
+
+
+def test_no_note_is_accepted_while_most_entries_hold_no_lease(rig):
+    # Guards against a note accepted while a majority of entries may serve an
+    # older one without leases.
+    number, frozen = rig.number(), rig.fleet.entries[1:]
+    for member in frozen:
+        rig.fleet.signal(member, signal.SIGSTOP)
+    try:
+        time.sleep(2.0)
+        reply = rig.apply(rig_lib.small_note(number + 1, "minority"))
+        codes = [e.code for e in reply.errors] if reply else []
+        print(codes)
+        assert "no_entry_majority" in codes
+    finally:
+        for member in frozen:
+            rig.fleet.signal(member, signal.SIGCONT)
+    rig.apply_until_accepted(rig_lib.small_note(number + 1, "minority"))
