Choose another canary when the first shard has no replica

A query with an unseen fingerprint first asks one shard, its canary. When no replica of that shard could be reached, the shard was given up, but the shards that waited for it were never asked; the query ended at its deadline without any answer.

Ruled out: the quarantine of the crashing request, because the refusal does not name it; a stall of the machine, because the unit test reproduces it.

Change: the canary is taken from shards that have a replica, and when its shard is given up without a running attempt, another waiting shard becomes the canary. A canary that was lost while running still holds the rest.

Conclusion: a lost service costs its share of the coverage, not the answer.

--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import itertools
 
 from auburnway.core import answer as answer_lib
 from auburnway.core import errors
@@ -69,24 +70,19 @@
     # Planning.
 
     def _on_trial(self, state: str) -> None:
+        guard, source = self._backends.guard, self._request.request_id
         if self._finished:
             if state == "granted":
-                self._backends.guard.end_trial(self._request, "not_run", None)
+                guard.end_trial(self._request, "not_run", None)
             return
         if state == "refused":
-            self._end(
-                answer_lib.NotRun(
-                    self._request.request_id,
-                    errors.Quarantined(source=self._request.request_id),
-                )
-            )
+            error = errors.Quarantined(source=source)
+            self._end(answer_lib.NotRun(source, error))
             return
         if state == "busy":
             self._after(
                 MAX_BACKOFF_MS * 2,
-                lambda: self._backends.guard.acquire_trial(
-                    self._request, self._on_trial
-                ),
+                lambda: guard.acquire_trial(self._request, self._on_trial),
             )
             return
         if state == "unavailable":
@@ -118,20 +114,27 @@
         self._drop_attempts()
         self._manifest = manifest
         self._shards = {s: sub_request.Shard(s) for s, _ in manifest.weights}
-        shards = list(self._shards.values())
-        canary = len(shards) > 1 and (
+        if len(self._shards) > 1 and (
             self._holds_trial or self._backends.guard.needs_canary(request)
-        )
-        if not canary:
+        ):
+            self._launch_canary()
+        else:
+            self._launch_all()
+
+    def _launch_canary(self) -> None:
+        """Launches one of the shards that wait; the rest follow on it."""
+        waiting = [s for s in self._shards.values() if not s.launched]
+        served = [shard for shard in waiting if self._replicas(shard)]
+        if not served:
             self._launch_all()
             return
-        first = self._backends.rng.choice(shards)
+        backends = self._backends
+        first = backends.rng.choice(served)
         self._launch(first)
         if not self._holds_trial:
-            delay_ms = self._backends.hedger.delay_ms(application)
-            self._after(
-                delay_ms or CANARY_WAIT_MS, lambda: self._pass_canary(first)
-            )
+            application = self._request.kind.application
+            wait_ms = backends.hedger.delay_ms(application) or CANARY_WAIT_MS
+            self._after(wait_ms, lambda: self._pass_canary(first))
 
     def _pass_canary(self, canary: sub_request.Shard) -> None:
         """Stops waiting for a slow canary; a lost one still holds the rest."""
@@ -143,6 +146,8 @@
         if self._finished:
             return
         waiting = [s for s in self._shards.values() if not s.launched]
+        for shard in waiting:
+            shard.launched = True
         for shard in waiting:
             self._launch(shard)
         if waiting and not self._finished:
@@ -266,9 +271,8 @@
             return
         shard.records = records
         self._drop(shard)
-        if any(not other.launched for other in self._shards.values()):
-            # The canary survived.
-            self._launch_all()
+        # A canary survived, if others wait for one.
+        self._launch_all()
         self._check_complete()
 
     def _retry_free(
@@ -436,45 +440,40 @@
     # Ending.
 
     def _check_complete(self) -> None:
-        if not any(shard.open for shard in self._shards.values()):
+        open_shards = [s for s in self._shards.values() if s.open]
+        if not open_shards:
             self._finish()
+        elif not self._finished and not any(s.launched for s in open_shards):
+            # The canary's shard has no replica that answers.
+            self._launch_canary()
 
     def _finish(self) -> None:
         """Answers with what has arrived."""
         if self._finished:
             return
-        request = self._request
-        if self._manifest is None or not (self._reached or self._answered()):
-            if any(shard.attempts for shard in self._shards.values()):
-                self._end(self._partial())
-                return
-            error = errors.NoBackendServer(
-                f"no backend server of {request.kind.application} was reached",
-                request.request_id,
-            )
-            self._end(answer_lib.NotRun(request.request_id, error))
+        some_sent = self._reached or any(
+            s.attempts or s.records is not None for s in self._shards.values()
+        )
+        if self._manifest is not None and some_sent:
+            self._end(self._partial())
             return
-        self._end(self._partial())
-
-    def _answered(self) -> dict[int, list]:
-        return {
-            shard.shard: shard.records
-            for shard in self._shards.values()
-            if shard.records is not None
-        }
+        request = self._request
+        detail = f"no backend server of {request.kind.application} was reached"
+        error = errors.NoBackendServer(detail, request.request_id)
+        self._end(answer_lib.NotRun(request.request_id, error))
 
     def _partial(self) -> answer_lib.Done:
-        answered = self._answered()
+        answered = {
+            shard: each.records
+            for shard, each in sorted(self._shards.items())
+            if each.records is not None
+        }
         return answer_lib.Done(
             request=self._request,
             configuration_number=self._configuration_number,
             snapshot=self._manifest.snapshot,
             coverage=snapshot_lib.coverage(self._manifest, answered),
-            records=tuple(
-                record
-                for shard in sorted(answered)
-                for record in answered[shard]
-            ),
+            records=tuple(itertools.chain(*answered.values())),
         )
 
     def _end(self, answer: answer_lib.Answer) -> None:
--- a/auburnway/entry/fan_out_test.py
+++ b/auburnway/entry/fan_out_test.py
@@ -1,6 +1,7 @@
 import pytest
 
 from auburnway.core import answer as answer_lib
+from auburnway.core import membership
 from auburnway.entry import fan_out
 from auburnway.entry import testing
 from auburnway.rpc import control_pb2
@@ -154,6 +155,27 @@
     assert len(bench.pool.waiting()) == 3
 
 
+@pytest.mark.parametrize("is_known_lost", [True, False])
+def test_lost_service_is_missing_from_an_unseen_query(is_known_lost):
+    # Guards against a canary on a shard without a replica, for which the
+    # other shards waited until the deadline and the query was not run.
+    for lost in range(3):
+        bench = testing.Bench(canary="unseen")
+        for name in (f"s{lost}-0", f"s{lost}-1"):
+            if is_known_lost:
+                bench.table.mark(name, membership.State.GONE)
+        start(bench)
+        for _ in range(200):
+            for each in bench.pool.waiting():
+                if each in bench.pool.waiting(lost):
+                    bench.pool.lose(each, reached=False)
+                else:
+                    bench.pool.answer(each)
+            bench.advance(1.0)
+        (answer,) = bench.answers
+        assert answer.coverage.missing_shards == (lost,)
+
+
 def trial_reply(state):
     return control_pb2.TrialReply(state=state)
 
