--- a/auburnway/faults/chaos.py
+++ b/auburnway/faults/chaos.py
@@ -15,6 +15,9 @@
 FREEZE_MS = 2000.0
 DOWN_MS = 400.0
 PAUSE_MS = 700.0
+# A slow process works for a fifth of the time.
+SLOW_STOPPED_MS = 80.0
+SLOW_RUNNING_MS = 20.0
 
 
 class Chaos:
@@ -81,3 +84,12 @@
         meanwhile()
     finally:
         rig.fleet.signal(member, signal.SIGCONT)
+
+
+def slow_down(
+    rig: rig_lib.Rig, member: fleet_lib.Member, stopped: threading.Event
+) -> None:
+    """Lets a process work for a part of the time until the event."""
+    while not stopped.is_set():
+        freeze(rig, member, lambda: time.sleep(SLOW_STOPPED_MS / 1000.0))
+        stopped.wait(SLOW_RUNNING_MS / 1000.0)
--- a/auburnway/faults/pairs_test.py
+++ b/auburnway/faults/pairs_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from auburnway.demo import fleet as fleet_lib
 from auburnway.faults import bookings
 from auburnway.faults import chaos
 from auburnway.faults import rig as rig_lib
@@ -103,3 +104,27 @@
         failures.get(k) for k in ("refused", "cut_off", "no_answer")
     ), failures
     assert report_lib.fault_count(report) == 0, report["truth"]
+
+
+def test_lost_service_costs_coverage_not_the_answer(rig):
+    # Guards against a query that nobody sent before and that first asks the
+    # shard without a replica.
+    lost, entries = rig.application("finder")[:3], rig.fleet.entries
+    for member in lost:
+        rig.fleet.kill(member)
+    told = []
+    for i in range(40):
+        body = {
+            "caller": "desk",
+            "kind": "search",
+            "deadline_ms": 2000.0,
+            "query": {"weave": "twill", "number": str(i)},
+        }
+        _, answer = fleet_lib.call(
+            entries[i % len(entries)].address, "POST", "/v1/requests", body
+        )
+        told.append(answer)
+    refused = [answer for answer in told if answer["outcome"] != "done"]
+    assert not refused, refused[:2]
+    missing = {tuple(a["coverage"]["missing_shards"]) for a in told}
+    assert missing == {(0,)}
--- a/auburnway/faults/rig.py
+++ b/auburnway/faults/rig.py
@@ -202,6 +202,25 @@
                     LIMIT_MS,
                 )
 
+    def everywhere(self, number: int) -> float:
+        """Waits until control says that a number is in force everywhere.
+
+        Returns:
+          The time taken, ms.
+        """
+
+        def look():
+            with self.client() as client:
+                outcome = client.call("InForce", pb.ReadRequest(), 2000.0)
+            if not pipeline.is_successful(outcome):
+                return False
+            reply = outcome.unwrap()
+            return reply.number >= number and reply.everywhere
+
+        begin_s = time.monotonic()
+        self.fleet.wait_for(look, "in force everywhere", LIMIT_MS)
+        return (time.monotonic() - begin_s) * 1000.0
+
     # Processes.
 
     def restart(self, member: fleet_lib.Member) -> None:
