End a query whose canary was lost without budget

Cause: when the canary's backend server was lost and the retry budget was empty, as it is after a start, the shard failed while the others waited for the canary.

Ruled out: a trial that is free of the budget, because extra load has a bound.

Change: the query ends at once with what it has; `_end` settles the trial as not run, so a resend is granted it.

--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -356,9 +356,14 @@
             backends.clock.now_ms()
         ):
             self._launch(shard, extra=True)
-        else:
-            shard.failed = True
+            return
+        shard.failed = True
+        if all(other.launched for other in self._shards.values()):
             self._check_complete()
+        else:
+            # The other shards wait for this canary, so nothing would end the
+            # query before its deadline, nor the trial that it may hold.
+            self._finish()
 
     # Hedges and silence.
 
--- a/auburnway/entry/fan_out_test.py
+++ b/auburnway/entry/fan_out_test.py
@@ -3,6 +3,7 @@
 from auburnway.core import answer as answer_lib
 from auburnway.entry import fan_out
 from auburnway.entry import testing
+from auburnway.policy import retry_budget
 from auburnway.rpc import control_pb2
 
 
@@ -144,6 +145,18 @@
     assert bench.control.count("GrantTrial") == 1
 
 
+def test_lost_canary_without_budget_ends_the_query_and_its_trial():
+    # Guards against a trial that is held, idle, until the deadline.
+    bench = testing.Bench(canary="unseen")
+    bench.control.replies["GrantTrial"] = [trial_reply("granted")]
+    bench.backends.budget = retry_budget.Budget()
+    start(bench)
+    bench.pool.lose(bench.pool.waiting()[0])
+    assert bench.answers[0].coverage.share == 0.0
+    ended = [r for m, r in bench.control.calls if m == "EndTrial"]
+    assert [r.outcome for r in ended] == ["not_run"]
+
+
 def test_rest_follows_the_canary_and_is_remembered():
     bench = testing.Bench(canary="unseen")
     start(bench)
