--- a/auburnway/core/answer.py
+++ b/auburnway/core/answer.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 import functools
-import json
 import typing
 
+import orjson
+
 from auburnway.core import errors
 from auburnway.core import request as request_lib
 from auburnway.core import snapshot as snapshot_lib
@@ -129,7 +130,7 @@
         },
         "records": answer.records,
     }
-    return Rendered(200, json.dumps(body).encode())
+    return Rendered(200, orjson.dumps(body))
 
 
 @render.register
@@ -141,7 +142,7 @@
         "request_id": answer.request_id,
         "note": "the recorded answer was too large to keep",
     }
-    return Rendered(200, json.dumps(body).encode())
+    return Rendered(200, orjson.dumps(body))
 
 
 @render.register(NotRun)
@@ -156,6 +157,6 @@
         body["retry_after_ms"] = answer.retry_after_ms
     return Rendered(
         answer.error.http_status,
-        json.dumps(body).encode(),
+        orjson.dumps(body),
         answer.retry_after_ms,
     )
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -122,8 +122,11 @@
             self._clock,
             loop.timers,
             self._table,
-            slot_sharing.Sharing(len(settings.seed_peers) + 1),
+            slot_sharing.Sharing(
+                len(settings.seed_peers) + 1, (), settings.name
+            ),
             self._peer_demands,
+            self._backends.take_shed_share,
             self._refuse,
         )
         self._respond: dict[str, typing.Any] = {}
@@ -426,6 +429,7 @@
         loguru.logger.info("leaving")
         self._leaving = True
         self._share()
+        self._front.close_after_response()
         self._loop.timers.after(
             self._settings.address_ttl_ms, self._stop_accepting
         )
--- a/auburnway/net/http_client.py
+++ b/auburnway/net/http_client.py
@@ -1,8 +1,10 @@
 """Kept HTTP/1.1 connections to backend servers, on the circuits poller.
 
 A query costs one exchange per shard, so the cost of an exchange decides how
-many queries a core serves. One circuits event is fired per readable socket;
-receiving, parsing (httptools) and completing the exchange happen inside it.
+many queries a core serves. The pool watches its sockets with an epoll of its
+own, which is itself one descriptor on the circuits poller: one circuits event
+covers all sockets that are ready, and receiving, parsing (httptools) and
+completing the exchanges happen inside it.
 
 A connection carries one exchange at a time and the reply is bound to it. An
 exchange that was abandoned keeps its connection out of use until the late
@@ -11,10 +13,9 @@
 """
 
 import collections
-from collections import abc
-import dataclasses
 import enum
 import errno
+import select
 import socket
 
 import circuits
@@ -23,6 +24,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import exchange as exchange_lib
 
 RECEIVE_BYTES = 65536
 # A new connection that is not established by then is given up.
@@ -36,43 +38,11 @@
 # The kernel gives up unacknowledged data after this time.
 TCP_USER_TIMEOUT_MS = 2000
 
-_PING = b"GET /v1/ping HTTP/1.1\r\nhost: backend\r\n\r\n"
-
-
-class Failure(enum.Enum):
-    """Why an exchange has no reply."""
-
-    # No connection is free and the limit is reached; nothing was sent.
-    NO_CONNECTION = "no_connection"
-    # The connection could not be established; nothing was sent.
-    CONNECT_FAILED = "connect_failed"
-    # The connection was lost after sending started.
-    CONNECTION_LOST = "connection_lost"
-    # The reply is not HTTP.
-    PROTOCOL = "protocol"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """End of an exchange.
-
-    Attributes:
-      status: HTTP status; 0 without a reply.
-      headers: Header values by lower-case name.
-      body: Body of the reply.
-      failure: None with a reply.
-      reached: False only when no byte of the request can have reached the
-        backend server.
-    """
+_LOST = exchange_lib.Failure.CONNECTION_LOST
+_CONNECT_FAILED = exchange_lib.Failure.CONNECT_FAILED
+_NO_CONNECTION = exchange_lib.Failure.NO_CONNECTION
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    failure: Failure | None
-    reached: bool
-
-
-OnReply = abc.Callable[[Reply], None]
+_PING = b"GET /v1/ping HTTP/1.1\r\nhost: backend\r\n\r\n"
 
 
 class _State(enum.Enum):
@@ -84,36 +54,6 @@
     CLOSED = 5
 
 
-class Exchange:
-    """Handle of one request; `abandon` gives up its reply."""
-
-    __slots__ = ("connection", "on_reply", "payload", "sent", "started_ms")
-
-    def __init__(self, payload: bytes, on_reply: OnReply, started_ms: float):
-        self.connection: _Connection | None = None
-        self.on_reply: OnReply | None = on_reply
-        self.payload = payload
-        self.sent = False
-        self.started_ms = started_ms
-
-    def abandon(self) -> bool:
-        """Gives up the reply; the completion function is not called.
-
-        Returns:
-          True when the request can have reached the backend server.
-        """
-        self.on_reply = None
-        if self.connection is not None:
-            self.connection.abandon(self)
-        return self.sent
-
-    def finish(self, reply: Reply) -> None:
-        """Calls the completion function once."""
-        on_reply, self.on_reply = self.on_reply, None
-        if on_reply is not None:
-            on_reply(reply)
-
-
 class _Connection:
     """One socket with its parser; also the parser's callback target."""
 
@@ -121,7 +61,7 @@
         self.pool = pool
         self.address = address
         self.state = _State.CONNECTING
-        self.exchange: Exchange | None = None
+        self.exchange: exchange_lib.Exchange | None = None
         self.last_reply_ms = 0.0
         self.timer: timers_lib.Timer | None = None
         self._unsent = b""
@@ -157,7 +97,7 @@
 
     # Sending.
 
-    def start(self, exchange: Exchange) -> None:
+    def start(self, exchange: exchange_lib.Exchange) -> None:
         self.exchange = exchange
         exchange.connection = self
         if self.state is _State.IDLE:
@@ -175,7 +115,7 @@
         else:
             self.pool.release(self)
 
-    def _send(self, exchange: Exchange) -> None:
+    def _send(self, exchange: exchange_lib.Exchange) -> None:
         exchange.sent = True
         self.write(exchange.payload)
 
@@ -185,14 +125,14 @@
         except BlockingIOError:
             count = 0
         except OSError:
-            self.close(Failure.CONNECTION_LOST)
+            self.close(_LOST)
             return
         if count < len(data):
             self._unsent = data[count:]
-            self.pool.poller.addWriter(self.pool, self.sock)
+            self.pool.watch(self, select.EPOLLIN | select.EPOLLOUT)
 
     def writable(self) -> None:
-        self.pool.poller.removeWriter(self.sock)
+        self.pool.watch(self, select.EPOLLIN)
         data, self._unsent = self._unsent, b""
         if data:
             self.write(data)
@@ -207,22 +147,22 @@
         except OSError:
             data = b""
         if not data:
-            self.close(Failure.CONNECTION_LOST)
+            self.close(_LOST)
             return
         if self.state is _State.IDLE:
             # Bytes that no request asked for belong to nobody.
-            self.close(Failure.PROTOCOL)
+            self.close(exchange_lib.Failure.PROTOCOL)
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self.close(Failure.PROTOCOL)
+            self.close(exchange_lib.Failure.PROTOCOL)
             return
         if self._complete:
             self._finish_reply()
 
     def _finish_reply(self) -> None:
-        reply = Reply(
+        reply = exchange_lib.Reply(
             self._parser.get_status_code(),
             self._headers,
             b"".join(self._body),
@@ -240,34 +180,36 @@
         if keep:
             self.pool.release(self)
         else:
-            self.close(Failure.CONNECTION_LOST)
+            self.close(_LOST)
         if exchange is not None:
             exchange.finish(reply)
 
     # Ending.
 
-    def abandon(self, exchange: Exchange) -> None:
+    def abandon(self, exchange: exchange_lib.Exchange) -> None:
         if self.exchange is not exchange:
             return
         self.exchange = None
         if self.state is _State.BUSY:
             self.state = _State.ABANDONED
             self.timer = self.pool.timers.after(
-                DRAIN_TIMEOUT_MS, lambda: self.close(Failure.CONNECTION_LOST)
+                DRAIN_TIMEOUT_MS,
+                lambda: self.close(_LOST),
             )
 
     def ping(self) -> None:
         self.state = _State.PINGING
         self.timer = self.pool.timers.after(
-            PING_TIMEOUT_MS, lambda: self.close(Failure.CONNECTION_LOST)
+            PING_TIMEOUT_MS,
+            lambda: self.close(_LOST),
         )
         self.write(_PING)
 
-    def close(self, failure: Failure) -> None:
+    def close(self, failure: exchange_lib.Failure) -> None:
         if self.state is _State.CLOSED:
             return
         if self.state is _State.CONNECTING:
-            failure = Failure.CONNECT_FAILED
+            failure = _CONNECT_FAILED
         exchange, self.exchange = self.exchange, None
         self.state = _State.CLOSED
         if self.timer is not None:
@@ -276,7 +218,7 @@
         self.sock.close()
         if exchange is not None:
             reached = exchange.sent
-            exchange.finish(Reply(0, {}, b"", failure, reached))
+            exchange.finish(exchange_lib.Reply(0, {}, b"", failure, reached))
 
 
 class _Server:
@@ -306,11 +248,13 @@
         pings: bool = True,
     ):
         super().__init__(channel=channel)
-        self.poller = poller
         self.timers = timers
         self.clock = clock
         self._servers: dict[str, _Server] = {}
-        self._by_socket: dict[socket.socket, _Connection] = {}
+        self._by_descriptor: dict[int, _Connection] = {}
+        self._epoll = select.epoll()
+        self._poller = poller
+        poller.addReader(self, self._epoll)
         self._ping_timer: timers_lib.Timer | None = None
         if pings:
             self._ping_timer = timers.every(PING_PERIOD_MS, self._ping_idle)
@@ -338,7 +282,7 @@
             return
         server.limit = 0
         for connection in tuple(server.idle):
-            connection.close(Failure.CONNECTION_LOST)
+            connection.close(_LOST)
         if not server.all:
             del self._servers[address]
 
@@ -346,9 +290,9 @@
         self,
         address: str,
         payload: bytes,
-        on_reply: OnReply,
+        on_reply: exchange_lib.OnReply,
         max_silence_ms: float | None = None,
-    ) -> Exchange:
+    ) -> exchange_lib.Exchange:
         """Starts an exchange.
 
         Args:
@@ -363,7 +307,7 @@
           The handle with which the reply can be abandoned.
         """
         now_ms = self.clock.now_ms()
-        exchange = Exchange(payload, on_reply, now_ms)
+        exchange = exchange_lib.Exchange(payload, on_reply, now_ms)
         server = self._servers.get(address)
         if server is None:
             server = self._servers[address] = _Server(1)
@@ -372,11 +316,13 @@
             connection = self._open(address, server, exchange)
             if connection is None:
                 exchange.finish(
-                    Reply(0, {}, b"", Failure.CONNECT_FAILED, False)
+                    exchange_lib.Reply(0, {}, b"", _CONNECT_FAILED, False)
                 )
             return exchange
         if connection is None:
-            exchange.finish(Reply(0, {}, b"", Failure.NO_CONNECTION, False))
+            exchange.finish(
+                exchange_lib.Reply(0, {}, b"", _NO_CONNECTION, False)
+            )
             return exchange
         connection.start(exchange)
         return exchange
@@ -397,23 +343,29 @@
         """Closes every connection."""
         if self._ping_timer is not None:
             self._ping_timer.cancel()
-        for connection in tuple(self._by_socket.values()):
-            connection.close(Failure.CONNECTION_LOST)
+        for connection in tuple(self._by_descriptor.values()):
+            connection.close(_LOST)
+        self._poller.discard(self._epoll)
+        self._epoll.close()
 
     # Called by connections.
 
+    def watch(self, connection: _Connection, mask: int) -> None:
+        """Changes what a connection waits for, as an epoll mask."""
+        self._epoll.modify(connection.sock, mask)
+
     def release(self, connection: _Connection) -> None:
         """Takes back a connection whose exchange has ended."""
         server = self._servers[connection.address]
         if len(server.all) > server.limit:
-            connection.close(Failure.CONNECTION_LOST)
+            connection.close(_LOST)
         else:
             server.idle.append(connection)
 
     def forget(self, connection: _Connection) -> None:
         """Drops a connection that is about to be closed."""
-        self._by_socket.pop(connection.sock, None)
-        self.poller.discard(connection.sock)
+        if self._by_descriptor.pop(connection.sock.fileno(), None):
+            self._epoll.unregister(connection.sock)
         server = self._servers.get(connection.address)
         if server is None:
             return
@@ -436,26 +388,29 @@
         ):
             # Make room, so that a new connection can be opened instead.
             if len(server.all) >= server.limit:
-                server.idle[0].close(Failure.CONNECTION_LOST)
+                server.idle[0].close(_LOST)
             return None
         return server.idle.pop()
 
     def _open(
-        self, address: str, server: _Server, exchange: Exchange | None = None
+        self,
+        address: str,
+        server: _Server,
+        exchange: exchange_lib.Exchange | None = None,
     ) -> _Connection | None:
         connection = _Connection(self, address)
         if connection.connect_error not in (0, errno.EINPROGRESS):
             connection.sock.close()
             return None
         server.all.add(connection)
-        self._by_socket[connection.sock] = connection
+        self._by_descriptor[connection.sock.fileno()] = connection
+        self._epoll.register(connection.sock, select.EPOLLOUT)
         if exchange is not None:
             connection.start(exchange)
         connection.timer = self.timers.after(
             CONNECT_TIMEOUT_MS,
-            lambda: connection.close(Failure.CONNECT_FAILED),
+            lambda: connection.close(_CONNECT_FAILED),
         )
-        self.poller.addWriter(self, connection.sock)
         return connection
 
     def _ping_idle(self) -> None:
@@ -471,28 +426,28 @@
                 connection.ping()
 
     @core.handler("_read")
-    def _on_read(self, sock):
-        connection = self._by_socket.get(sock)
-        if connection is not None:
-            connection.readable()
-
-    @core.handler("_write")
-    def _on_write(self, sock):
-        connection = self._by_socket.get(sock)
-        if connection is None:
-            return
-        if connection.state is not _State.CONNECTING:
-            connection.writable()
+    def _on_read(self, _):
+        for descriptor, mask in self._epoll.poll(0):
+            # An earlier connection of this batch may have closed this one.
+            connection = self._by_descriptor.get(descriptor)
+            if connection is None:
+                continue
+            if connection.state is _State.CONNECTING:
+                self._on_connect_end(connection)
+                continue
+            if mask & select.EPOLLOUT:
+                connection.writable()
+            if mask & ~select.EPOLLOUT:
+                connection.readable()
+
+    def _on_connect_end(self, connection: _Connection) -> None:
+        if connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            connection.close(_CONNECT_FAILED)
             return
-        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            connection.close(Failure.CONNECT_FAILED)
+        try:
+            connection.sock.getpeername()
+        except OSError:
+            # The event was for a closed socket with the same descriptor.
             return
-        self.poller.removeWriter(sock)
-        self.poller.addReader(self, sock)
+        self.watch(connection, select.EPOLLIN)
         connection.established()
-
-    @core.handler("_disconnect", "_error")
-    def _on_disconnect(self, sock, *_):
-        connection = self._by_socket.get(sock)
-        if connection is not None:
-            connection.close(Failure.CONNECTION_LOST)
