Add entry, control and site to the settings reference

Cause: docs/SETTINGS.md lacked the processes that operators configure.

Conclusion: all classes that a settings file is checked against are listed.

--- a/auburnway/admin/reference.py
+++ b/auburnway/admin/reference.py
@@ -14,18 +14,24 @@
 import typing
 
 from auburnway.admin import settings as settings_lib
+from auburnway.control import main as control_main
 from auburnway.core import configuration as configuration_lib
 from auburnway.core import errors
 from auburnway.core import note as note_lib
 from auburnway.core import note_errors
 from auburnway.core import note_items
+from auburnway.demo import site
+from auburnway.entry import settings as entry_settings
 from auburnway.load import bench_settings
 from auburnway.load import scenario
 from auburnway.standin import settings as standin_settings
 
 # Settings classes by binary; each binary that reads settings adds its own.
 SETTINGS: tuple[tuple[str, type], ...] = (
+    ("auburnway-entry", entry_settings.EntrySettings),
+    ("auburnway-control", control_main.Settings),
     ("auburnway-operator", settings_lib.OperatorSettings),
+    ("auburnway-demo", site.Site),
     ("auburnway-standin", standin_settings.Settings),
     ("auburnway-load", scenario.Scenario),
     ("auburnway.load.bench, fleet", bench_settings.Shape),
