Believe control on whether a release note is in force everywhere

Ruled out: relying on the flag alone; a reply may speak of a later number, for which acknowledgement by all entries of this one suffices.

Change: the flag of the reply counts, or that each entry has the number. The fake control of the tests computes the flag as control does.

--- a/auburnway/admin/main_test.py
+++ b/auburnway/admin/main_test.py
@@ -49,6 +49,7 @@
         # Entries take up a number only after so many InForce calls.
         self.lag = 2
         self.lease_left_ms = 900
+        self.may_be_lent = False
         self.chain_valid = True
 
     def connect(self, addresses):
@@ -103,7 +104,16 @@
             )
             for name, acknowledged in self.entries.items()
         ]
-        return pb.InForceReply(number=number, entries=rows)
+        # As in control.entries: an entry that is behind counts while it may
+        # serve, under its own lease or one that a peer lent it.
+        everywhere = all(
+            row.number >= number
+            or (row.lease_left_ms < 0 and not self.may_be_lent)
+            for row in rows
+        )
+        return pb.InForceReply(
+            number=number, entries=rows, everywhere=everywhere
+        )
 
     def Audit(self, request):  # noqa: N802
         rows = self.state.audit[request.after_revision :][:2]
@@ -179,13 +189,18 @@
     assert "answer_lost" in err and "Run the same command" in err
 
 
-@pytest.mark.parametrize("lease_left_ms, expected", [(900, 5), (-1, 0)])
-def test_apply_waits_for_entries_that_hold_a_lease(
-    operator, control, lease_left_ms, expected
+@pytest.mark.parametrize(
+    "lease_left_ms, may_be_lent, expected",
+    [(900, False, 5), (-1, False, 0), (-1, True, 5)],
+)
+def test_apply_waits_for_entries_that_may_serve(
+    operator, control, lease_left_ms, may_be_lent, expected
 ):
-    # An entry without a lease serves nothing, so it does not hold a note up.
+    # An entry without a lease serves nothing, so it does not hold a note up;
+    # it may serve under a lent one, which only control can judge.
     control.lag = 1 << 30
     control.lease_left_ms = lease_left_ms
+    control.may_be_lent = may_be_lent
     code, _, err = operator("apply", "FILE", "--wait-ms", "500")
     assert code == expected
     assert not expected or "e1, e2" in err
--- a/auburnway/admin/operations.py
+++ b/auburnway/admin/operations.py
@@ -364,12 +364,15 @@
         )
         rows = [] if found else [_message(entry) for entry in reply.entries]
         # The reply speaks of the newest number, which may be a later one.
+        # An entry whose lease has run out may still serve under one that a
+        # peer lent it; only control knows when that has ended too.
         everywhere = (
             not found
             and reply.number >= number
-            and all(
-                row["number"] >= number or row["lease_left_ms"] < 0
-                for row in rows
+            and (
+                reply.everywhere
+                or bool(rows)
+                and all(row["number"] >= number for row in rows)
             )
         )
         if everywhere or context.clock.now_ms() >= end_ms:
