Show an open claim as own to its owner only

Cause: an entry's incarnation is its start in milliseconds of the wall clock. The reply to a claim named only the incarnation of the holder, and the claim client takes an open claim with its own incarnation for a grant whose reply was lost. Two entries that start in the same millisecond have the same incarnation, so a resend at the second entry was dispatched while the first attempt ran.

Ruled out: the state machine grants the claim once (attempt 1, one owner); the second dispatch came from the reply alone. Settlements and trials are not affected: only an entry that was granted the attempt sends them.

The wire format and the stored state stay.

Conclusion: dispatch is at most once also among entries that start together.

--- a/auburnway/core/commands.py
+++ b/auburnway/core/commands.py
@@ -173,7 +173,8 @@
       attempt: Its current attempt.
       result: Recorded answer when `done`.
       result_dropped: Whether the answer was too large to keep.
-      entry_incarnation: Incarnation of the entry that holds the attempt.
+      entry_incarnation: Incarnation of the entry that asks, when it holds the
+        attempt; empty when another entry does.
     """
 
     error: errors_lib.Error | None = None
--- a/auburnway/core/replicated_state.py
+++ b/auburnway/core/replicated_state.py
@@ -281,13 +281,16 @@
         )
     )
     is_done = found == "done"
+    # Two entries that start in the same millisecond have the same incarnation,
+    # and each would take the other's open claim for its own.
+    is_owner = record.owner == owner
     return commands.ClaimReply(
         state=found,
         claim_id=record.claim_id,
         attempt=record.attempt,
         result=record.result if is_done else b"",
         result_dropped=is_done and record.result_dropped,
-        entry_incarnation=record.entry_incarnation,
+        entry_incarnation=record.entry_incarnation if is_owner else "",
     )
 
 
--- a/auburnway/core/replicated_state_test.py
+++ b/auburnway/core/replicated_state_test.py
@@ -431,3 +431,16 @@
     state, _ = apply_all(register("e1", "i"), register("e2", "i"))
     assert audit.verify(state.audit[1:]) == 1
     assert audit.verify(state.audit[1:], state.audit[0].hash, 2) is None
+
+
+def test_an_open_claim_is_shown_as_own_to_its_owner_only():
+    # Guards against a second dispatch by another entry that started in the
+    # same millisecond and so has the same incarnation.
+    _, (_, _, first, other, again) = apply_all(
+        register("e1", "5"),
+        register("e2", "5"),
+        *(rs.Claim("c1", "1-a", "d", n, "5", 1) for n in ("e1", "e2", "e1")),
+    )
+    states = [reply.state for reply in (first, other, again)]
+    assert states == ["granted", "open", "open"]
+    assert [other.entry_incarnation, again.entry_incarnation] == ["", "5"]
