Add a fault matrix over the product's own classes

Cause: faults were tried at random moments (raft_model_test, peer_logic_test) or on real processes; nothing injected each fault at each message and disk step of a protocol through control and entries together.

The driver runs control.node, entries, operations and store, entry.node with lease, peers, claims and fan-out, and the real control client. Only clock, disk, gRPC links, peer sockets, HTTP pool and HTTP front are replaced, and faults enter there.

--- /dev/null
+++ b/auburnway/faults/matrix_nodes.py
@@ -0,0 +1,437 @@
+"""Processes of the fault matrix: the product's classes around fake sockets."""
+
+import json
+import types
+from unittest import mock
+
+from auburnway.control import entries as entries_lib
+from auburnway.control import node as control_node
+from auburnway.control import operations as operations_lib
+from auburnway.control import store as store_lib
+from auburnway.core import membership
+from auburnway.core import raft_records as records
+from auburnway.core import snapshot as snapshot_lib
+from auburnway.entry import node as entry_node
+from auburnway.entry import peers as peers_lib
+from auburnway.entry import settings as settings_lib
+from auburnway.faults import matrix_fleet as fleet
+from auburnway.net import exchange as exchange_lib
+from auburnway.rpc import control_client
+from auburnway.rpc import control_pb2 as pb
+from auburnway.storage import disk as disk_lib
+
+SERVICE_MS = 5.0
+
+
+class Disk(disk_lib.FakeDisk):
+    """Disk whose operations are steps at which a fault can happen."""
+
+    def __init__(self, process: "Control"):
+        super().__init__()
+        self._process = process
+
+    def append(self, name: str, data: bytes) -> None:
+        """Adds bytes that are not synced."""
+        self._step("append")
+        super().append(name, data)
+
+    def sync(self, name: str) -> None:
+        """Syncs a file."""
+        self._step("sync")
+        super().sync(name)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces a file."""
+        self._step("replace")
+        super().replace(name, data)
+
+    def _step(self, kind):
+        process = self._process
+        process.world.on_event(kind, process.name, process.name)
+        if not process.alive:
+            raise disk_lib.DiskFault(disk_lib.DiskError("process was killed"))
+
+
+class Control(fleet.Process):
+    """Control instance on a fake disk."""
+
+    def __init__(self, world: fleet.World, name: str):
+        super().__init__(world, name)
+        self.address = fleet.control_address(name)
+        self.disk = Disk(self)
+        # The first members are written as by `auburnway-control init`.
+        self.alive = True
+        members = tuple(
+            records.Member(
+                n, store_lib.first_incarnation(n), fleet.control_address(n)
+            )
+            for n in fleet.CONTROLS
+        )
+        store_lib.create(
+            self.disk,
+            store_lib.Identity(name, store_lib.first_incarnation(name)),
+            members,
+        )
+
+    def build(self) -> None:
+        """Opens the data folder and starts the consensus task."""
+        identity = store_lib.read_identity(self.disk)
+        if identity is None:
+            identity = store_lib.Identity(
+                self.name, f"{self.name}.life{self.life}"
+            )
+            store_lib.create(self.disk, identity, ())
+        self.node = control_node.Node(
+            identity,
+            self.address,
+            store_lib.Store(self.disk),
+            self,
+            fleet.TOKEN,
+            self._join,
+        )
+        self.node._links = {
+            fleet.control_address(n): types.SimpleNamespace(
+                send=self._sender(n), close=lambda: None
+            )
+            for n in fleet.CONTROLS
+        }
+        self.node.register(self.root)
+        self.entries = entries_lib.Entries(
+            self.node, self.clock, self.timers, 600_000.0
+        )
+        self.operations = operations_lib.Operations(
+            self.node, self.entries, self.clock, self.timers, 10**9, None
+        )
+
+    def kill(self, resets: bool = True) -> None:
+        """Ends the process; unsynced bytes are lost."""
+        super().kill(resets)
+        self.disk.crash()
+
+    def lose_disk(self) -> None:
+        """Ends the process and empties its disk."""
+        self.kill(resets=False)
+        self.disk.lose()
+
+    def serve(self, method, request, respond) -> None:
+        """Serves one gRPC call."""
+        operation = getattr(
+            self.operations,
+            "in_force" if method == "InForce" else method.lower(),
+        )
+        self.node.post(lambda: operation(request, respond))
+
+    def _join(self):
+        identity = self.node.identity
+        request = pb.JoinRequest(
+            name=identity.name,
+            incarnation=identity.incarnation,
+            address=self.address,
+        )
+        for name in fleet.CONTROLS:
+            if name != self.name:
+                fleet.Call(
+                    fleet.Link(self, fleet.control_address(name)),
+                    "Join",
+                    request,
+                    1.0,
+                )
+
+    def _sender(self, target):
+        def send(message):
+            kind = type(message).__name__
+            if getattr(message, "entries", True) == ():
+                kind = "heartbeat"
+
+            def receive():
+                node = self.world.processes[target].node
+                node.post(lambda: node.receive(self.address, [message]))
+
+            self.world.send(kind, self.name, target, receive)
+
+        return send
+
+
+class _Front:
+    """Routes of an entry without HTTP."""
+
+    def __init__(self, settings, clock, timers, routes):
+        self.routes, self.pending, self.accepts = routes, 0, True
+
+    def register(self, root):
+        return self
+
+    def pending_count(self):
+        return self.pending
+
+    def stop_accepting(self):
+        self.accepts = False
+
+
+class _Pool:
+    """Pool of connections from one entry to backend servers."""
+
+    def __init__(self, process):
+        self._process = process
+
+    def register(self, root):
+        return self
+
+    def set_server(self, address, limit, warm):
+        pass
+
+    def remove_server(self, address):
+        pass
+
+    def close_all(self):
+        pass
+
+    def has_capacity(self, address):
+        return True
+
+    def send(self, address, payload, on_reply, max_silence_ms=None):
+        process, world = self._process, self._process.world
+        exchange = exchange_lib.Exchange(payload, on_reply, 0.0)
+        exchange.sent = True
+        head, _, body = payload.partition(b"\r\n\r\n")
+        if b"/v1/cancel" in head:
+            return exchange
+        lines = head.decode().split("\r\n")[1:]
+        headers = dict(line.split(": ", 1) for line in lines)
+        life = process.life
+
+        def finish(status, reply_headers, data, failure=None, reached=True):
+            reply = exchange_lib.Reply(
+                status,
+                reply_headers,
+                json.dumps(data).encode(),
+                failure,
+                reached,
+            )
+
+            def end():
+                if process.life == life:
+                    exchange.finish(reply)
+
+            return end
+
+        def serve():
+            server = world.processes[address]
+
+            def respond(*reply):
+                world.send("reply", address, process.name, finish(*reply))
+
+            lost = exchange_lib.Failure.CONNECTION_LOST
+            server.resets.append(lambda: respond(0, {}, {}, lost))
+            server.serve(headers, json.loads(body), respond)
+
+        refused = exchange_lib.Failure.CONNECT_FAILED
+        world.processes[address].on_sent(world.clock.now_ms())
+        world.send(
+            "run",
+            process.name,
+            address,
+            serve,
+            finish(0, {}, {}, refused, False),
+        )
+        return exchange
+
+
+class Entry(fleet.Process):
+    """Entry process."""
+
+    def build(self) -> None:
+        """Builds the real entry around fakes of its sockets."""
+        process, world = self, self.world
+
+        class Client(control_client.ControlClient):
+            def take_link(self, address):
+                return fleet.Link(process, address)
+
+            def return_link(self, link, started_ms, is_silent):
+                pass
+
+        class Socket:
+            def __init__(self, poller, address, on_datagram):
+                self.address = address
+                process.on_datagram = on_datagram
+                self.sent = self.sent_bytes = self.unsent = 0
+                self.received = self.received_bytes = 0
+
+            def register(self, parent):
+                return self
+
+            def send(self, address, data):
+                target = fleet.name_at(address)
+                source = fleet.peer_address(process.name)
+                world.send(
+                    "datagram",
+                    process.name,
+                    target,
+                    lambda: world.processes[target].on_datagram(source, data),
+                )
+
+            def close(self):
+                pass
+
+        settings = settings_lib.EntrySettings(
+            name=self.name,
+            data_center="dc1",
+            address=f"10.0.2.{self.name[1:]}:3",
+            peer_address=fleet.peer_address(self.name),
+            control_addresses=tuple(
+                fleet.control_address(n) for n in fleet.CONTROLS
+            ),
+            token=fleet.TOKEN,
+            seed_peers=tuple(
+                fleet.peer_address(n) for n in fleet.ENTRIES if n != self.name
+            ),
+            address_ttl_ms=300.0,
+            seed=int(self.name[1:]),
+        )
+        with (
+            mock.patch.object(control_client, "ControlClient", Client),
+            mock.patch.object(peers_lib.peer_socket, "PeerSocket", Socket),
+            mock.patch.object(
+                entry_node.http_client,
+                "HttpPool",
+                lambda *arguments: _Pool(process),
+            ),
+            mock.patch.object(entry_node.front_lib, "Front", _Front),
+            mock.patch.object(entry_node.metrics_lib, "Metrics"),
+        ):
+            self.entry = entry_node.Entry(settings, self)
+        self.front = self.entry._front
+
+    def request(self, route, body, on_reply) -> None:
+        """Serves one HTTP request."""
+        front, is_over = self.front, []
+        front.pending += 1
+
+        def respond(rendered):
+            front.pending -= 1
+            is_over.append(True)
+            on_reply(rendered)
+
+        front.routes[route](
+            json.dumps(body).encode(), {"x-fleet-token": fleet.TOKEN}, respond
+        )
+
+
+class Server(fleet.Process):
+    """Backend server that announces itself to two entries."""
+
+    def __init__(self, world: fleet.World, name: str, shard: int, shards: int):
+        super().__init__(world, name)
+        self.shard, self.shards, self.snapshots = shard, shards, (1,)
+        self.state, self.sequence = membership.State.SERVING, 1
+        self.ran: list[tuple[dict, dict]] = []
+        self.sent_ms: list[float] = []
+
+    def build(self) -> None:
+        """Starts to announce."""
+        self.started_ms = int(self.clock.now_ms())
+        self.announce()
+        self.timers.every(1000.0, self.announce)
+
+    def row(self) -> membership.Row:
+        """Returns the announced row."""
+        weights = tuple((s, 10 + s) for s in range(self.shards))
+        return membership.Row(
+            name=self.name,
+            started_ms=self.started_ms,
+            sequence=self.sequence,
+            application="app" if self.shards > 1 else "desk",
+            address=self.name,
+            data_center="dc1",
+            state=self.state,
+            slots=8,
+            connection_limit=40,
+            holdings=tuple(
+                snapshot_lib.Holding(s, self.shard) for s in self.snapshots
+            ),
+            manifests=tuple(
+                snapshot_lib.Manifest(s, weights) for s in self.snapshots
+            ),
+        )
+
+    def announce(self) -> None:
+        """Announces the present state to two entries."""
+        data = membership.encode_row(self.row())
+        for name in ("e1", "e2"):
+
+            def call(name=name):
+                entry = self.world.processes[name]
+                route = ("POST", "/v1/announce")
+                entry.request(route, data, lambda rendered: None)
+
+            self.world.send("announce", self.name, name, call)
+
+    def change(self, **changes) -> None:
+        """Changes the row and announces it."""
+        vars(self).update(changes)
+        self.sequence += 1
+        self.announce()
+
+    def on_sent(self, now_ms: float) -> None:
+        """Notes that an entry sent work here."""
+        self.sent_ms.append(now_ms)
+
+    def serve(self, headers, body, respond) -> None:
+        """Runs one request, or refuses it while draining."""
+        state = {"x-state": self.state.value}
+        if self.state is not membership.State.SERVING:
+            respond(503, {**state, "x-not-started": "1"}, {})
+            return
+        if body["snapshot"] not in self.snapshots:
+            respond(410, {**state, "x-not-started": "1"}, {})
+            return
+        self.ran.append((headers, body))
+        reply = {
+            "request_id": headers["x-request-id"],
+            "snapshot": body["snapshot"],
+            "shard": body["shard"],
+            "records": [[body["snapshot"], body["shard"]]],
+        }
+        self.timers.after(SERVICE_MS, lambda: respond(200, state, reply))
+
+
+class Outside(fleet.Process):
+    """Callers and operators; never the target of a fault."""
+
+    def build(self) -> None:
+        """Builds the operator's control client."""
+        process = self
+
+        class Client(control_client.ControlClient):
+            def take_link(self, address):
+                return fleet.Link(process, address)
+
+            def return_link(self, link, started_ms, is_silent):
+                pass
+
+        addresses = [fleet.control_address(n) for n in fleet.CONTROLS]
+        self.client = Client(addresses, fleet.TOKEN, self.clock)
+
+    def post(self, entry, body, on_reply) -> None:
+        """Sends a caller's request; `on_reply` gets None on a reset."""
+        world = self.world
+
+        def call():
+            process = world.processes[entry]
+            answered = []
+
+            def reply(rendered):
+                if not answered:
+                    answered.append(True)
+                    world.send(
+                        "reply", entry, self.name, lambda: on_reply(rendered)
+                    )
+
+            process.resets.append(lambda: reply(None))
+            if process.front.accepts:
+                process.request(("POST", "/v1/requests"), body, reply)
+            else:
+                reply(None)
+
+        world.send("request", self.name, entry, call, lambda: on_reply(None))
