Check late dispatch and notes accepted under a fault in the matrix

Cause: with one rule undone at a time some cells stayed green: nothing looked at a dispatch after the deadline, one note gave a held-back instance nothing old to tell, and one note cannot arrive after a newer one.

Change: backend servers note work that is sent with no time left; a further note is accepted by the running leader 500 ms before the fault ends; the distribution step sends two notes.

Conclusion: not yet turned red are reads without a quorum round, votes of an empty disk and double votes; their cells do not prove these rules.

--- a/auburnway/faults/matrix.py
+++ b/auburnway/faults/matrix.py
@@ -23,6 +23,8 @@
 from auburnway.faults import matrix_nodes as nodes
 
 CONTROLS, ENTRIES = fleet.CONTROLS, fleet.ENTRIES
+# Time from a note that is sent during a fault to the end of the fault.
+NOTE_LEAD_MS = 500.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,20 +54,26 @@
 
 
 def _start_distribution(case):
-    # One entry hears of the note through its peers only.
+    # One entry hears of the notes through its peers only. The second note
+    # follows at once, so that replies with the first one can be late.
     pairs = {(n, "e3") for n in CONTROLS} | {("e3", n) for n in CONTROLS}
     case.world.cuts |= pairs
     case.world.run(2000.0)
     faults.end(
-        case, faults.FAULT_MS, lambda: case.world.cuts.difference_update(pairs)
+        case,
+        faults.FAULT_MS,
+        lambda: case.world.cuts.difference_update(pairs),
+    )
+    case.apply(
+        case_lib.note_text(2),
+        on_done=lambda reply: case.apply(case_lib.note_text(3)),
     )
-    _start_note(case)
 
 
 def _is_distributed(case):
     return all(
         case.process(n).alive
-        and case.process(n).entry._lease.configuration.number >= 2
+        and case.process(n).entry._lease.configuration.number >= 3
         for n in ENTRIES
     )
 
@@ -318,8 +326,13 @@
         is_injected = len(victims) == len(chosen) and None not in victims
         if not is_injected:
             return Outcome(False, seen[0] <= k, ())
+        # A note is accepted by whoever leads now, so that an instance that
+        # the fault holds back has something old to tell.
         left_ms = case.fault_end_ms - case.world.clock.now_ms()
-        case.world.run(max(left_ms, 0.0))
+        case.world.run(max(left_ms - NOTE_LEAD_MS, 0.0))
+        number = max(case.winners) + 1
+        case.apply(case_lib.note_text(number, "mid"), case.leader_address())
+        case.world.run(min(max(left_ms, 0.0), NOTE_LEAD_MS))
         column.finish(case)
         case.check_end(can_recover=_can_recover(case))
     return Outcome(True, False, tuple(case.violations))
--- a/auburnway/faults/matrix_case.py
+++ b/auburnway/faults/matrix_case.py
@@ -238,6 +238,8 @@
         since_ms = max(self.drained_ms, self.fault_end_ms) + DRAIN_MS
         if any(t > since_ms for t in self.process("s0").sent_ms):
             self.fail("work was sent to a draining server after 2 s")
+        if any(self.process(n).sent_late for n in ("d0", "d1")):
+            self.fail("a request was dispatched after its deadline")
         if can_recover:
             self._check_recovery()
 
@@ -322,3 +324,13 @@
             for n in CONTROLS
             if self.process(n).alive and self.process(n).node.is_leader
         )
+
+    def leader_address(self) -> str:
+        """Returns the address of the newest leader that runs, or nothing."""
+        leaders = [
+            p
+            for p in map(self.process, CONTROLS)
+            if p.alive and p.inbox is None and p.node.is_leader
+        ]
+        newest = max(leaders, key=lambda p: p.node.raft.term, default=None)
+        return newest.address if newest is not None else ""
--- a/auburnway/faults/matrix_nodes.py
+++ b/auburnway/faults/matrix_nodes.py
@@ -226,7 +226,9 @@
             server.serve(headers, json.loads(body), respond)
 
         refused = exchange_lib.Failure.CONNECT_FAILED
-        world.processes[address].on_sent(world.clock.now_ms())
+        world.processes[address].on_sent(
+            world.clock.now_ms(), float(headers["x-time-left-ms"])
+        )
         world.send(
             "run",
             process.name,
@@ -327,6 +329,7 @@
         self.state, self.sequence = membership.State.SERVING, 1
         self.ran: list[tuple[dict, dict]] = []
         self.sent_ms: list[float] = []
+        self.sent_late = 0
 
     def build(self) -> None:
         """Starts to announce."""
@@ -373,9 +376,10 @@
         self.sequence += 1
         self.announce()
 
-    def on_sent(self, now_ms: float) -> None:
+    def on_sent(self, now_ms: float, time_left_ms: float) -> None:
         """Notes that an entry sent work here."""
         self.sent_ms.append(now_ms)
+        self.sent_late += time_left_ms <= 0
 
     def serve(self, headers, body, respond) -> None:
         """Runs one request, or refuses it while draining."""
