Compute what a majority has reached in one place

Cause: committing entries and confirming reads each sorted the voters' values and took the middle one; a change to one rule could miss the other. Ruled out: joining `_majority`, which counts a condition and sorts nothing. Change: `_majority_value` in core/raft_leader.py serves both. Conclusion: no change of behaviour.

--- a/auburnway/core/raft_leader.py
+++ b/auburnway/core/raft_leader.py
@@ -190,6 +190,24 @@
         voters = [m.incarnation for m in self._node.members if m.voter]
         return sum(map(holds, voters)) * 2 > len(voters)
 
+    def _majority_value(
+        self, own: int, value: abc.Callable[[Progress], int]
+    ) -> int:
+        """Returns the greatest value that a majority of voters has reached.
+
+        Args:
+          own: Value of this node, which counts only if it is a voter.
+          value: Returns the value of another member.
+        """
+        values = sorted(
+            own
+            if member.incarnation == self._me
+            else value(self._progress[member.incarnation])
+            for member in self._node.members
+            if member.voter
+        )
+        return values[(len(values) - 1) // 2]
+
     def _sync_progress(self) -> None:
         """Follows the member set; a new member starts as just heard."""
         now_ms = self._clock.now_ms()
@@ -248,14 +266,9 @@
         An entry of an older term is committed only together with one of this
         term; counting its copies alone is not safe.
         """
-        voters = [m.incarnation for m in self._node.members if m.voter]
-        matches = sorted(
-            self._node.log.last_index
-            if i == self._me
-            else self._progress[i].match_index
-            for i in voters
+        index = self._majority_value(
+            self._node.log.last_index, lambda progress: progress.match_index
         )
-        index = matches[(len(matches) - 1) // 2]
         if index <= self._node.commit or index < self._first_index:
             return
         was_established = self.is_established
@@ -268,12 +281,9 @@
         """Answers reads whose round a majority answered."""
         if not self._reads:
             return
-        voters = [m.incarnation for m in self._node.members if m.voter]
-        rounds = sorted(
-            self._round if i == self._me else self._progress[i].round
-            for i in voters
+        confirmed = self._majority_value(
+            self._round, lambda progress: progress.round
         )
-        confirmed = rounds[(len(rounds) - 1) // 2]
         count = sum(1 for read in self._reads if read[1] <= confirmed)
         done, self._reads = self._reads[:count], self._reads[count:]
         self._node.add_reads(records.Read(c, index) for c, _, index in done)
