Take the limits of keys and recorded answers from core.claims

Cause: the limits of 5 minutes ahead and of 4,096 bytes each stood twice with equal values. An entry with another limit than control would accept keys that control refuses, or send answers that control drops. Ruled out: joining the two patterns of a key. core.request allows a nonce of 64 characters with spaces and core.claims one of 128 without, so either choice would change which keys are accepted. Change: core.request and entry.claim_client use the constants of core.claims. Conclusion: no change of behaviour.

--- a/auburnway/core/request.py
+++ b/auburnway/core/request.py
@@ -6,12 +6,10 @@
 
 from returns import result
 
+from auburnway.core import claims
 from auburnway.core import configuration as configuration_lib
 from auburnway.core import errors
 
-# A key from further in the future shows a wrong clock; claims could not be
-# pruned in order.
-MAX_KEY_SKEW_MS = 300_000
 MAX_NAME_BYTES = 128
 MAX_NONCE_BYTES = 64
 
@@ -136,7 +134,7 @@
     issued_ms = key_issued_ms(key) if isinstance(key, str) else None
     if issued_ms is None:
         return f"{key!r} is not <issued_ms>-<nonce>"
-    if issued_ms > wall_ms + MAX_KEY_SKEW_MS:
+    if issued_ms > wall_ms + claims.MAX_KEY_AHEAD_MS:
         return f"{key!r} was issued in the future"
     return ""
 
--- a/auburnway/entry/claim_client.py
+++ b/auburnway/entry/claim_client.py
@@ -11,6 +11,7 @@
 
 from returns import pipeline
 
+from auburnway.core import claims
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import mailbox as mailbox_lib
 from auburnway.kernel import timers as timers_lib
@@ -20,8 +21,6 @@
 CLAIM_TIMEOUT_MS = 1500.0
 SETTLE_TIMEOUT_MS = 1000.0
 RETRY_MS = 200.0
-# Larger answers are not recorded; only their outcome is.
-MAX_RECORDED_BYTES = 4096
 # A lost grant is looked for this long; then its claim stays open and a
 # resend is told unknown.
 RECOVER_FOR_MS = 600_000.0
@@ -115,7 +114,8 @@
           outcome: `done`, `not_run` or `unknown`.
           result: Answer to record with `done`.
         """
-        if len(result) > MAX_RECORDED_BYTES:
+        if len(result) > claims.MAX_RESULT_BYTES:
+            # Control would drop it and record only the outcome.
             result = b""
         message = control_pb2.SettleRequest(
             claim_id=claim.claim_id,
