Split the acceptance of a release note, and word one refusal once

Cause: `_accept_note` decided about a note and also put it in force and into the audit trail; the error of an unregistered entry was composed twice. Ruled out: a common function for claims and trials that also checks the registration, because they ask it under different conditions. Change: `_put_in_force` changes the state and returns the receipt; `_not_registered` composes the error. Conclusion: no change of behaviour.

--- a/auburnway/core/replicated_state.py
+++ b/auburnway/core/replicated_state.py
@@ -174,10 +174,21 @@
             accepted_wall_ms=receipt.accepted_wall_ms,
             repeated_submission=True,
         )
-    old, state.configuration = (
-        state.configuration,
-        note_lib.apply(state.configuration, note),
+    receipt = _put_in_force(state, note, digest, command.author or note.author)
+    return commands.NoteReply(
+        number=receipt.number,
+        digest=receipt.digest,
+        revision=receipt.revision,
+        accepted_wall_ms=receipt.accepted_wall_ms,
     )
+
+
+def _put_in_force(
+    state: State, note: note_lib.Note, digest: str, author: str
+) -> Receipt:
+    """Changes the configuration and records who changed what."""
+    old = state.configuration
+    state.configuration = note_lib.apply(old, note)
     changes = note_lib.diff(old, state.configuration)
     detail = json.dumps(
         {
@@ -185,18 +196,12 @@
             "changes": [dataclasses.asdict(change) for change in changes],
         }
     )
-    author = command.author or note.author
     row = _record(
         state, author, "note", "accepted", detail, note.number, digest
     )
     receipt = Receipt(note.number, digest, author, row.revision, state.wall_ms)
     state.receipts[note.number] = receipt
-    return commands.NoteReply(
-        number=note.number,
-        digest=digest,
-        revision=row.revision,
-        accepted_wall_ms=state.wall_ms,
-    )
+    return receipt
 
 
 def check_note(
@@ -268,8 +273,7 @@
     if may_be_granted and not _is_registered(state, owner):
         # Nobody would learn that the owner has vanished, so that the claim
         # could stay open for ever.
-        detail = f"entry {owner[0]} with incarnation {owner[1]}"
-        return commands.ClaimReply(error=EntryNotRegistered(detail))
+        return commands.ClaimReply(error=_not_registered(owner))
     found, record = state.claims.claim(
         claims_lib.Record(
             claim_id=state.index,
@@ -315,8 +319,7 @@
     owner = (command.entry_name, command.entry_incarnation)
     found = state.trials.state(command.fingerprint, state.wall_ms)
     if found == "trial_required" and not _is_registered(state, owner):
-        detail = f"entry {owner[0]} with incarnation {owner[1]}"
-        return commands.TrialReply(error=EntryNotRegistered(detail))
+        return commands.TrialReply(error=_not_registered(owner))
     found = state.trials.grant(command.fingerprint, owner, state.wall_ms)
     return _trial_reply(state, command.fingerprint, found)
 
@@ -401,6 +404,10 @@
     return entry is not None and entry.incarnation == owner[1]
 
 
+def _not_registered(owner: tuple[str, str]) -> EntryNotRegistered:
+    return EntryNotRegistered(f"entry {owner[0]} with incarnation {owner[1]}")
+
+
 def _record_quarantine(state: State, fingerprint: str) -> None:
     record = state.trials.find(fingerprint)
     servers = ", ".join(name for name, _ in record.struck)
