--- a/auburnway/core/claims.py
+++ b/auburnway/core/claims.py
@@ -173,6 +173,16 @@
     ) -> tuple[str, errors.Error | None]:
         """Records the outcome of an attempt.
 
+        Args:
+          claim_id: Claim that was granted.
+          attempt: Attempt that was granted.
+          entry_incarnation: Incarnation of the entry that asks; only the
+            owner of the attempt may settle it.
+          outcome: One of `OUTCOMES`; the one recorded already is accepted
+            again.
+          result: Answer to keep with `done`, at most `MAX_RESULT_BYTES`; of
+            a larger one only the outcome is kept.
+
         Returns:
           The state of the claim afterwards (empty when there is none) and why
           the outcome was refused.
@@ -180,26 +190,9 @@
         record = self._records.get(claim_id)
         if record is None:
             return "", ClaimNotFound(f"claim {claim_id} is not kept")
-        if (record.attempt, record.entry_incarnation) != (
-            attempt,
-            entry_incarnation,
-        ):
-            detail = (
-                f"claim {claim_id} is at attempt {record.attempt} of entry"
-                f" {record.entry_name}"
-            )
-            return record.state, NotOwner(detail)
-        if outcome not in OUTCOMES:
-            detail = f"outcome {outcome!r:.50} is none of {OUTCOMES}"
-            return record.state, errors.BadRequest(detail)
-        if outcome == record.state:
-            return record.state, None
-        # The owner may still learn that an unknown attempt was done. It may
-        # not declare it as not run: a resend was told `unknown` already.
-        becomes_known = record.state == "unknown" and outcome == "done"
-        if record.state != "open" and not becomes_known:
-            detail = f"claim {claim_id} is {record.state}, not {outcome}"
-            return record.state, SettledOtherwise(detail)
+        problem = _settle_problem(record, attempt, entry_incarnation, outcome)
+        if problem is not None or outcome == record.state:
+            return record.state, problem
         kept = outcome == "done" and len(result) <= MAX_RESULT_BYTES
         self._put(
             dataclasses.replace(
@@ -253,3 +246,28 @@
         ids.discard(record.claim_id)
         if not ids:
             del self._open[record.owner]
+
+
+def _settle_problem(
+    record: Record, attempt: int, entry_incarnation: str, outcome: str
+) -> errors.Error | None:
+    """Returns why an outcome is refused; None when it may be recorded."""
+    if (record.attempt, record.entry_incarnation) != (
+        attempt,
+        entry_incarnation,
+    ):
+        detail = (
+            f"claim {record.claim_id} is at attempt {record.attempt} of entry"
+            f" {record.entry_name}"
+        )
+        return NotOwner(detail)
+    if outcome not in OUTCOMES:
+        detail = f"outcome {outcome!r:.50} is none of {OUTCOMES}"
+        return errors.BadRequest(detail)
+    # The owner may still learn that an unknown attempt was done. It may not
+    # declare it as not run: a resend was told `unknown` already.
+    becomes_known = record.state == "unknown" and outcome == "done"
+    if record.state not in ("open", outcome) and not becomes_known:
+        detail = f"claim {record.claim_id} is {record.state}, not {outcome}"
+        return SettledOtherwise(detail)
+    return None
