Separate the form of a caller's request from its meaning

Cause: `core.request.parse` decoded JSON, checked its form, looked items up and built the request in one function of 50 lines; its errors were not named. Ruled out: a schema library, which would be one more dependency for four keys and would word the errors differently. Change: `_read_body` decodes and checks the form; `parse` does the rest. Conclusion: no change of behaviour; the order of the checks is as before.

--- a/auburnway/core/request.py
+++ b/auburnway/core/request.py
@@ -70,19 +70,12 @@
       wall_ms: Wall-clock instant, against which the key is checked.
 
     Returns:
-      The request, or the first error found.
+      The request, or the first error found: `BadRequest`, `UnknownCaller`,
+      `UnknownKind` or `BadKey`.
     """
-    try:
-        data = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        return _bad(f"the body is not JSON: {error}", request_id)
-    if not isinstance(data, dict):
-        return _bad("the body is not a JSON object", request_id)
-    for name in ("caller", "kind"):
-        if not _is_name(data.get(name)):
-            return _bad(f"{name} is missing or not a name", request_id)
-    if not isinstance(data.get("query"), dict):
-        return _bad("query is missing or not an object", request_id)
+    data, problem = _read_body(body)
+    if problem:
+        return _bad(problem, request_id)
     caller = configuration.find("caller", data["caller"])
     if caller is None:
         return result.Failure(errors.UnknownCaller(data["caller"], request_id))
@@ -116,6 +109,22 @@
     )
 
 
+def _read_body(body: bytes) -> tuple[dict[str, typing.Any], str]:
+    """Returns the content of a body, and what is wrong with its form."""
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return {}, f"the body is not JSON: {error}"
+    if not isinstance(data, dict):
+        return {}, "the body is not a JSON object"
+    for name in ("caller", "kind"):
+        if not _is_name(data.get(name)):
+            return data, f"{name} is missing or not a name"
+    if not isinstance(data.get("query"), dict):
+        return data, "query is missing or not an object"
+    return data, ""
+
+
 def key_issued_ms(key: str) -> int | None:
     """Returns the wall-clock instant inside a key, or None if malformed."""
     issued, separator, nonce = key.partition("-")
