--- a/auburnway/core/raft_leader.py
+++ b/auburnway/core/raft_leader.py
@@ -220,21 +220,10 @@
         }
 
     def _send(self, incarnation: str) -> None:
+        """Sends what a member lacks, or a heartbeat when it lacks nothing."""
         progress, node = self._progress[incarnation], self._node
-        now_ms = self._clock.now_ms()
         if progress.next_index <= node.log.snapshot.index:
-            sent_ms = progress.snapshot_sent_ms
-            if sent_ms is None or now_ms - sent_ms > SNAPSHOT_RETRY_MS:
-                progress.snapshot_sent_ms = now_ms
-                node.send(
-                    records.InstallSnapshot(
-                        self._me,
-                        incarnation,
-                        node.term,
-                        node.log.snapshot,
-                        self._round,
-                    )
-                )
+            if self._send_snapshot(incarnation, progress):
                 return
             # The member refuses this heartbeat until it has the snapshot, but
             # its answer shows that it hears the leader.
@@ -260,6 +249,23 @@
             # A lost message shows when the next heartbeat is refused.
             progress.next_index = entries[-1].index + 1
 
+    def _send_snapshot(self, incarnation: str, progress: Progress) -> bool:
+        """Sends the snapshot unless one is under way; returns whether."""
+        now_ms, sent_ms = self._clock.now_ms(), progress.snapshot_sent_ms
+        if sent_ms is not None and now_ms - sent_ms <= SNAPSHOT_RETRY_MS:
+            return False
+        progress.snapshot_sent_ms = now_ms
+        self._node.send(
+            records.InstallSnapshot(
+                self._me,
+                incarnation,
+                self._node.term,
+                self._node.log.snapshot,
+                self._round,
+            )
+        )
+        return True
+
     def _advance_commit(self) -> None:
         """Commits what a majority has on disk, up to this term's entries.
 
