Describe the fields of log commands and of Raft records

Cause: most commands and several Raft records had fields without a meaning or a unit, and the arguments of `Raft.compact`, `join` and `Log.between` were not described. Those who embed the log had to read the code. Ruled out: describing them in docs/LIBRARY.md only, where they would not be seen beside the definition. Change: docstrings of core/commands.py, core/raft_records.py, core/raft.py and core/raft_log.py; no code. Conclusion: each field of these records has a meaning, with its unit.

--- a/auburnway/core/commands.py
+++ b/auburnway/core/commands.py
@@ -1,7 +1,9 @@
 """Commands of the replicated log and their replies.
 
-The leader stamps each command with its wall clock when it proposes it, so that
-all replicas see the same time.
+The leader stamps each command with its wall clock (`wall_ms`, milliseconds
+since the Unix epoch) when it proposes it, so that all replicas see the same
+time. An entry or a backend server is named together with its incarnation, so
+that a late command of an earlier life does not concern the present one.
 """
 
 import dataclasses
@@ -15,7 +17,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class AcceptNote:
-    """A release note that is accepted when it wins its number."""
+    """A release note that is accepted when it wins its number.
+
+    Attributes:
+      text: Release note as TOML.
+      author: Operator who sent it; empty to take the author in the text.
+      wall_ms: The leader's stamp.
+    """
 
     text: str
     author: str
@@ -24,7 +32,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RefuseNote:
-    """A release note that the leader refused before it was proposed."""
+    """A release note that the leader refused before it was proposed.
+
+    Attributes:
+      author: Operator who sent it.
+      number: Number of the note; 0 when the text has none.
+      digest: Digest of the note; empty when the text is unreadable.
+      reason: Why it was refused; a long one is cut in the audit trail.
+      wall_ms: The leader's stamp.
+    """
 
     author: str
     number: int
@@ -35,7 +51,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
-    """An entry asks for the right to run a request."""
+    """An entry asks for the right to run a request.
+
+    Attributes:
+      caller: Caller that the key is unique for.
+      key: Idempotency key `<issued_ms>-<nonce>`.
+      digest: Digest of kind and query; another one under the same key is a
+        conflict.
+      entry_name: Registered entry that asks.
+      entry_incarnation: Its incarnation.
+      wall_ms: The leader's stamp.
+    """
 
     caller: str
     key: str
@@ -47,7 +73,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settle:
-    """The owner of a claim reports `done`, `not_run` or `unknown`."""
+    """The owner of a claim reports the outcome.
+
+    Attributes:
+      claim_id: Claim that was granted.
+      attempt: Attempt that was granted.
+      entry_incarnation: Incarnation of the owner.
+      outcome: `done`, `not_run` or `unknown`.
+      result: Answer to record with `done`; see `claims.MAX_RESULT_BYTES`.
+      wall_ms: The leader's stamp.
+    """
 
     claim_id: int
     attempt: int
@@ -59,7 +94,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Strike:
-    """A backend server was lost while it ran a request."""
+    """A backend server was lost while it ran a request.
+
+    Attributes:
+      fingerprint: Digest of caller, kind and query.
+      backend_server: Name of the lost server.
+      backend_incarnation: Its incarnation.
+      entry_name: Entry that saw the loss.
+      wall_ms: The leader's stamp.
+    """
 
     fingerprint: str
     backend_server: str
@@ -80,7 +123,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class EndTrial:
-    """The holder of a trial reports `passed`, `lost` or `not_run`."""
+    """The holder of a trial reports its end.
+
+    Attributes:
+      fingerprint: Digest of caller, kind and query.
+      entry_incarnation: Incarnation of the holder.
+      outcome: `passed`, `lost` or `not_run`.
+      backend_server: Server that was lost; empty for other outcomes.
+      backend_incarnation: Its incarnation.
+      wall_ms: The leader's stamp.
+    """
 
     fingerprint: str
     entry_incarnation: str
@@ -92,7 +144,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class RegisterEntry:
-    """An entry starts; it replaces an earlier incarnation of its name."""
+    """An entry starts; it replaces an earlier incarnation of its name.
+
+    Attributes:
+      name: Unique name of the entry.
+      incarnation: Identifies this life of its process.
+      data_center: Data centre that it runs in.
+      caller_address: Where callers connect, `ip:port`.
+      peer_address: Where other entries send datagrams, `ip:port`.
+      wall_ms: The leader's stamp.
+    """
 
     name: str
     incarnation: str
@@ -187,7 +248,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class SettleReply:
-    """Answer to Settle: the state of the claim afterwards."""
+    """Answer to Settle.
+
+    Attributes:
+      error: Why the outcome was refused; None when it is recorded.
+      state: State of the claim afterwards; empty when none is kept.
+    """
 
     error: errors_lib.Error | None = None
     state: str = ""
@@ -228,7 +294,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class TickReply:
-    """Answer to Tick: the retention floor of claim keys."""
+    """Answer to Tick.
+
+    Attributes:
+      floor_ms: Keys issued before this wall-clock instant are refused.
+    """
 
     floor_ms: int = 0
 
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -116,7 +116,11 @@
         return bool(self.leader) and silent_ms < self.config.election_min_ms
 
     def step(self, message: records.Message) -> records.Output:
-        """Handles one received message."""
+        """Handles one received message.
+
+        A message for another incarnation, or from a sender that the member
+        set does not allow, is ignored.
+        """
         if message.target == self.config.incarnation and self._admits(message):
             _handle(message, self)
         return self._take_output()
@@ -161,13 +165,23 @@
         return self._take_output()
 
     def join(self, member: records.Member) -> records.Output:
-        """Adds a learner that will replace its name's old incarnation."""
+        """Adds a learner that will replace its name's old incarnation.
+
+        Without effect unless this node is the leader.
+
+        Args:
+          member: New incarnation; `voter` is not looked at.
+        """
         if self._leading is not None:
             self._leading.join(member)
         return self._take_output()
 
     def transfer(self) -> records.Output:
-        """Hands leadership to the voter that is most caught up."""
+        """Hands leadership to the voter that is most caught up.
+
+        Without effect unless this node is the leader. Proposals are refused
+        until it succeeds or `election_max_ms` has passed.
+        """
         if self._leading is not None:
             self._leading.transfer()
         return self._take_output()
@@ -176,6 +190,11 @@
         """Replaces the log up to an applied index by a snapshot.
 
         The caller saves the snapshot before it replaces the stored log.
+
+        Args:
+          index: Applied index, at most `commit` and not before the present
+            snapshot.
+          data: Encoded state after that entry.
         """
         assert index <= self.commit
         snapshot = self.log.compact(index, data)
--- a/auburnway/core/raft_log.py
+++ b/auburnway/core/raft_log.py
@@ -78,7 +78,14 @@
     def between(
         self, first: int, last: int, max_bytes: int = 1 << 62
     ) -> tuple[records.Entry, ...]:
-        """Returns entries first to last, at least one, up to max_bytes."""
+        """Returns a range of entries.
+
+        Args:
+          first: First index, after the snapshot.
+          last: Last index; entries past the end of the log are left out.
+          max_bytes: Entries from the one that would exceed this size on are
+            left out, but not the first.
+        """
         start = first - self.snapshot.index - 1
         assert start >= 0, "entries were compacted"
         chosen, size = [], 0
--- a/auburnway/core/raft_records.py
+++ b/auburnway/core/raft_records.py
@@ -28,7 +28,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """One log entry; indexes start at 1."""
+    """One log entry.
+
+    Attributes:
+      index: Position in the log, from 1.
+      term: Term of the leader that appended it.
+      kind: What `data` holds.
+      data: Command, or encoded member set; empty for `NOOP`.
+    """
 
     index: int
     term: int
@@ -81,7 +88,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
-    """Replicated state after the entry at `index`, with its member set."""
+    """Replicated state after the entry at `index`.
+
+    Attributes:
+      index: Last entry that is part of it; 0 for the start of the log.
+      term: Term of that entry.
+      members: Member set in force after that entry.
+      data: State as the caller encoded it.
+    """
 
     index: int = 0
     term: int = 0
@@ -118,7 +132,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class VoteReply(Message):
-    """Answer to a vote request; `term` echoes it when granted."""
+    """Answer to a vote request.
+
+    Its `term` is the requested one when granted, and otherwise the term of the
+    node that refuses.
+
+    Attributes:
+      granted: Whether the vote is, or for a pre-vote would be, given.
+      pre_vote: As in the request.
+    """
 
     granted: bool
     pre_vote: bool
@@ -129,6 +151,10 @@
     """Entries after (`previous_index`, `previous_term`), or a heartbeat.
 
     Attributes:
+      previous_index: Index before the first entry.
+      previous_term: Term there; the receiver refuses when its own differs.
+      entries: Entries to add; empty for a heartbeat.
+      commit: Commit index of the leader.
       round: Heartbeat round, echoed in the reply; confirms reads.
     """
 
@@ -147,6 +173,7 @@
       accepted: Whether the log matched at the previous index.
       index: Last index known to match when accepted; otherwise the index
         from which the leader should look back.
+      round: Heartbeat round that is answered.
     """
 
     accepted: bool
@@ -169,7 +196,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Read:
-    """A read that may be answered once `index` is applied."""
+    """A confirmed read.
+
+    Attributes:
+      context: Number that was passed to `Raft.read_index`.
+      index: The read may be answered once this entry is applied.
+    """
 
     context: int
     index: int
