Describe the rest of the public records and arguments of core

Cause: answers, receipts, registered entries and the constructors of the membership table, the claims and the manual clock lacked units, errors or the meaning of a field. Ruled out: renaming fields; they are part of stored or sent forms. Change: docstrings in core; no code. `replicated_state.apply` and `answer.render` name the TypeError that they raise. Conclusion: each public record of core states its fields.

--- a/auburnway/core/answer.py
+++ b/auburnway/core/answer.py
@@ -45,7 +45,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotRun:
-    """The request did not run and will not."""
+    """The request did not run and will not.
+
+    Attributes:
+      request_id: The request answered.
+      error: Why, with the remedy.
+      retry_after_ms: When to send it again; None when that would not help.
+    """
 
     request_id: str
     error: errors.Error
@@ -57,6 +63,11 @@
     """It is not known here whether the request ran.
 
     The same idempotency key may be sent again: it never runs twice.
+
+    Attributes:
+      request_id: The request answered.
+      error: Why it is not known, with the remedy.
+      retry_after_ms: When to send it again; None to leave that to the caller.
     """
 
     request_id: str
@@ -88,7 +99,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rendered:
-    """An answer as HTTP."""
+    """An answer as HTTP.
+
+    Attributes:
+      status: HTTP status.
+      body: Body of the response.
+      retry_after_ms: When the caller should send again; None for no advice.
+      content_type: Value of the header `content-type`.
+    """
 
     status: int
     body: bytes
@@ -98,7 +116,11 @@
 
 @functools.singledispatch
 def render(answer: Answer) -> Rendered:
-    """Returns the HTTP form of an answer."""
+    """Returns the HTTP form of an answer.
+
+    Raises:
+      TypeError: The object is no answer.
+    """
     raise TypeError(f"{type(answer).__name__} is no answer")
 
 
--- a/auburnway/core/claims.py
+++ b/auburnway/core/claims.py
@@ -107,6 +107,9 @@
 
     Changed in place; the indexes are derived from the records alone, so that
     two books with equal records behave equally.
+
+    Args:
+      records: Claims to start with, each with a well-formed key.
     """
 
     def __init__(self, records: typing.Iterable[Record] = ()):
@@ -141,7 +144,8 @@
         """Looks a key up and grants it when it may run.
 
         Args:
-          wanted: Claim as it is stored when it is new.
+          wanted: Claim as it is stored when it is new. Its key is
+            well-formed; see `check_key`.
 
         Returns:
           What was found, as in ClaimReply.state, and the record.
--- a/auburnway/core/clock.py
+++ b/auburnway/core/clock.py
@@ -36,7 +36,12 @@
 
 
 class ManualClock:
-    """Clock that moves only when told; for tests."""
+    """Clock that moves only when told; for tests.
+
+    Args:
+      start_ms: First monotonic instant.
+      wall_start_ms: First wall-clock instant, ms since the Unix epoch.
+    """
 
     def __init__(self, start_ms: float = 0.0, wall_start_ms: int = 0):
         self._now_ms = start_ms
@@ -55,6 +60,9 @@
 
         Args:
           duration_ms: Step in milliseconds; not negative.
+
+        Raises:
+          ValueError: The step is negative.
         """
         if duration_ms < 0:
             raise ValueError("a clock moves forward only")
--- a/auburnway/core/configuration.py
+++ b/auburnway/core/configuration.py
@@ -31,7 +31,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Caller:
-    """A customer of the tier; `share` weighs it inside its rank."""
+    """A customer of the tier.
+
+    Attributes:
+      name: Unique name, sent with each request.
+      share: Weight against the other callers inside a rank.
+    """
 
     name: str
     share: float = 1.0
@@ -87,7 +92,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Drain:
-    """A backend server that receives no new work."""
+    """A backend server that receives no new work.
+
+    Attributes:
+      name: Name of the backend server.
+    """
 
     name: str
 
--- a/auburnway/core/membership.py
+++ b/auburnway/core/membership.py
@@ -121,6 +121,9 @@
 
     A row is replaced only by a greater version, so that a late datagram or an
     entry that was cut off never brings back an old state.
+
+    Args:
+      lease_ms: Time after its last announcement for which a row counts.
     """
 
     def __init__(self, lease_ms: float):
--- a/auburnway/core/replicated_state.py
+++ b/auburnway/core/replicated_state.py
@@ -60,7 +60,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Receipt:
-    """Acceptance of one release note."""
+    """Acceptance of one release note.
+
+    Attributes:
+      number: Number of the note.
+      digest: Digest of the note, by which a resend is recognised.
+      author: Operator who sent it, or the author in its text.
+      revision: Revision of its row in the audit trail.
+      accepted_wall_ms: When it was accepted, ms since the Unix epoch.
+    """
 
     number: int
     digest: str
@@ -71,7 +79,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """A registered entry."""
+    """A registered entry.
+
+    Attributes:
+      name: Unique name.
+      incarnation: Identifies this life of its process.
+      data_center: Data centre that it runs in.
+      caller_address: Where callers connect, `ip:port`.
+      peer_address: Where other entries send datagrams, `ip:port`.
+    """
 
     name: str
     incarnation: str
@@ -135,6 +151,7 @@
 
     Raises:
       ValueError: The index was applied before.
+      TypeError: The object is no command.
     """
     if state is EMPTY_STATE:
         state = State()
--- a/auburnway/core/trials.py
+++ b/auburnway/core/trials.py
@@ -63,7 +63,13 @@
     def strike(
         self, fingerprint: str, server: tuple[str, str], wall_ms: int
     ) -> None:
-        """Adds a lost backend server (name, incarnation) once."""
+        """Adds a strike.
+
+        Args:
+          fingerprint: Request that ran on the server.
+          server: Lost backend server (name, incarnation); counted once.
+          wall_ms: The leader's stamp.
+        """
         record = self.find(fingerprint)
         if server not in record.struck:
             record = dataclasses.replace(
@@ -76,7 +82,16 @@
     def grant(
         self, fingerprint: str, entry: tuple[str, str], wall_ms: int
     ) -> str:
-        """Grants the trial when one is required and none is running."""
+        """Grants the trial when one is required and none is running.
+
+        Args:
+          fingerprint: Request to try.
+          entry: Entry (name, incarnation) that asks.
+          wall_ms: The leader's stamp.
+
+        Returns:
+          `granted`, or the state that forbids it, as from `state`.
+        """
         state = self.state(fingerprint, wall_ms)
         if state != "trial_required":
             return state
