State units, errors and attributes in policy, kernel, storage and net

Cause: several public functions gave no unit for an instant or a size, or did not name the exception that they raise. Ruled out: repeating `DiskFault` at each method of each disk; the protocol states it once for all. Change: docstrings and one comment; no code. Conclusion: what an embedding program must know stands beside the definition.

--- a/auburnway/kernel/metrics.py
+++ b/auburnway/kernel/metrics.py
@@ -18,7 +18,11 @@
 
 
 class Metrics:
-    """Instruments of one process."""
+    """Instruments of one process.
+
+    Args:
+      process: Name of the process, part of the meter's name.
+    """
 
     def __init__(self, process: str):
         self._registry = prometheus_client.CollectorRegistry()
--- a/auburnway/kernel/process.py
+++ b/auburnway/kernel/process.py
@@ -24,8 +24,16 @@
 ) -> argparse.Namespace:
     """Parses the command line of a daemon.
 
+    Args:
+      program: Name of the binary, shown in its help.
+      description: What it does, shown in its help.
+      arguments: Command line; None for that of this process.
+
     Returns:
       Namespace with `settings` (path) and `log_level`.
+
+    Raises:
+      SystemExit: Help was asked for, or an argument is wrong (status 2).
     """
     parser = argparse.ArgumentParser(prog=program, description=description)
     parser.add_argument("--settings", required=True, help="settings file, TOML")
@@ -36,7 +44,15 @@
 
 
 def load_settings(cls: type, path: str) -> typing.Any:
-    """Returns checked settings, or ends the process with all errors."""
+    """Returns checked settings.
+
+    Args:
+      cls: Settings class.
+      path: TOML file.
+
+    Raises:
+      SystemExit: The file is wrong; all errors were printed.
+    """
     loaded = settings_lib.load(cls, path)
     if pipeline.is_successful(loaded):
         return loaded.unwrap()
@@ -46,7 +62,16 @@
 
 
 class Loop:
-    """A circuits loop with one poller, one timer queue and an exit stack."""
+    """A circuits loop with one poller, one timer queue and an exit stack.
+
+    Attributes:
+      clock: Source of time.
+      stack: Closed when `run` ends; owns what must be closed.
+      root: Component that all others are registered under.
+      poller: Poller that components add their sockets to.
+      timers: Timer queue.
+      on_stop: Called on the first SIGTERM or SIGINT; `stop` by default.
+    """
 
     def __init__(self, clock: clock_lib.Clock):
         self.clock = clock
--- a/auburnway/kernel/registry.py
+++ b/auburnway/kernel/registry.py
@@ -21,7 +21,8 @@
       name: Name by which settings and release notes choose it.
 
     Raises:
-      ValueError: Another plug-in already has this kind and name.
+      ValueError: By the decorator, when a plug-in of another module already
+        has this kind and name.
     """
 
     def add(factory):
--- a/auburnway/kernel/timers.py
+++ b/auburnway/kernel/timers.py
@@ -16,7 +16,12 @@
 
 
 class Timer:
-    """Handle of one scheduled call; `cancel` makes it a no-op."""
+    """Handle of one scheduled call; `cancel` makes it a no-op.
+
+    Attributes:
+      due_ms: Monotonic instant at which it is called.
+      call: What is called; None once it ran or was cancelled.
+    """
 
     __slots__ = ("due_ms", "call")
 
--- a/auburnway/net/exchange.py
+++ b/auburnway/net/exchange.py
@@ -50,7 +50,15 @@
 
 
 class Exchange:
-    """Handle of one request; `abandon` gives up its reply."""
+    """Handle of one request; `abandon` gives up its reply.
+
+    Attributes:
+      connection: What carries it; None until a connection is assigned.
+      on_reply: Completion function; None once it was called or given up.
+      payload: Bytes of the request.
+      sent: Whether sending has started.
+      started_ms: Monotonic instant at which the request was handed over.
+    """
 
     __slots__ = ("connection", "on_reply", "payload", "sent", "started_ms")
 
--- a/auburnway/net/peer_socket.py
+++ b/auburnway/net/peer_socket.py
@@ -28,6 +28,8 @@
 
     Attributes:
       address: Bound address, `ip:port`.
+      sent: Datagrams sent.
+      received: Datagrams received.
       sent_bytes: Bytes sent, without IP and UDP headers.
       received_bytes: Bytes received, likewise.
       unsent: Datagrams that the kernel did not take.
--- a/auburnway/policy/fair_queue.py
+++ b/auburnway/policy/fair_queue.py
@@ -44,7 +44,13 @@
         self._set_tag(caller, tag + 1.0 / self._shares.get(caller, 1.0))
 
     def push(self, request_id: str, caller: str, deadline_at_ms: float) -> None:
-        """Adds a waiting query."""
+        """Adds a waiting query.
+
+        Args:
+          request_id: Identifier, which must not wait here already.
+          caller: Its caller.
+          deadline_at_ms: Instant at which `expire` removes it.
+        """
         waiting = self._waiting.get(caller)
         if waiting is None:
             waiting = self._waiting[caller] = collections.deque()
@@ -80,7 +86,11 @@
         return request_id
 
     def remove(self, request_id: str) -> None:
-        """Removes a waiting query that is no longer wanted."""
+        """Removes a waiting query that is no longer wanted.
+
+        Raises:
+          KeyError: It does not wait here.
+        """
         caller = self._caller.pop(request_id)
         waiting = self._waiting[caller]
         waiting.remove(request_id)
@@ -88,7 +98,11 @@
             del self._waiting[caller]
 
     def expire(self, until_ms: float) -> list[str]:
-        """Removes and returns the queries whose deadline has come."""
+        """Removes and returns the queries whose deadline has come.
+
+        Args:
+          until_ms: Deadlines up to this instant have come.
+        """
         expired = []
         deadlines = self._deadlines
         while deadlines and (
--- a/auburnway/policy/hedging.py
+++ b/auburnway/policy/hedging.py
@@ -80,7 +80,14 @@
     def observe(
         self, application: str, latency_ms: float, now_ms: float
     ) -> None:
-        """Records the latency of one finished sub-request."""
+        """Records the latency of one finished sub-request.
+
+        Args:
+          application: Application that it belongs to.
+          latency_ms: Time from sending to the reply; values outside of 0.001
+            to 60,000 ms are clipped.
+          now_ms: Present instant, which never falls.
+        """
         window = self._windows.get(application)
         if window is None:
             window = self._windows[application] = _Window(now_ms)
@@ -91,6 +98,11 @@
         window.newer.record_value(value_us)
 
     def delay_ms(self, application: str) -> float | None:
-        """Returns how long to wait before a hedge; None: do not hedge."""
+        """Returns how long to wait before a hedge.
+
+        Returns:
+          Milliseconds since the sub-request was sent; None to send no hedge,
+          as while fewer than `MIN_SAMPLES` latencies are known.
+        """
         window = self._windows.get(application)
         return window.delay_ms if window is not None else None
--- a/auburnway/policy/quarantine.py
+++ b/auburnway/policy/quarantine.py
@@ -84,7 +84,12 @@
         return bool(self._recent(fingerprint, now_ms))
 
     def refuse(self, fingerprint: str, until_ms: float) -> None:
-        """Refuses the request until an instant."""
+        """Refuses the request until an instant; never shortens a refusal.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          until_ms: End of the refusal on the own monotonic clock.
+        """
         present_ms = self._refused_until_ms.get(fingerprint, until_ms)
         self._refused_until_ms[fingerprint] = max(present_ms, until_ms)
 
--- a/auburnway/policy/slot_sharing.py
+++ b/auburnway/policy/slot_sharing.py
@@ -34,6 +34,7 @@
 # Below this use of the slots, waiting work means that they divide badly.
 FULL_SHARE = 0.95
 
+# Waiting and running queries of one application, by rank.
 Demand = abc.Mapping[str, tuple[int, int]]
 
 
--- a/auburnway/storage/disk.py
+++ b/auburnway/storage/disk.py
@@ -54,7 +54,11 @@
 
 
 class Disk(typing.Protocol):
-    """Flat folder of files."""
+    """Flat folder of files.
+
+    Each method raises `DiskFault` when the operation failed; the folder must
+    not be used any more then. Sizes are in bytes.
+    """
 
     def read(self, name: str) -> bytes | None:
         """Returns the content of a file, or None when it is absent."""
@@ -65,7 +69,8 @@
     def append(self, name: str, data: bytes) -> None:
         """Adds bytes to the end of an existing file.
 
-        They are not durable before `sync`.
+        They are not durable before `sync`. A failed append may have added a
+        part of the bytes.
         """
 
     def sync(self, name: str) -> None:
--- a/auburnway/storage/frames.py
+++ b/auburnway/storage/frames.py
@@ -27,6 +27,10 @@
 def decode(data: bytes, offset: int):
     """Decodes the frame at an offset.
 
+    Args:
+      data: Content of a file.
+      offset: First byte of the frame.
+
     Returns:
       (sequence, payload, end offset), or None when no whole frame with a
       matching checksum stands there.
@@ -44,7 +48,13 @@
 
 
 def has_frame_after(data: bytes, offset: int, sequence: int) -> bool:
-    """Whether a valid frame of a later sequence number starts past offset."""
+    """Whether a valid frame of a later sequence number starts past offset.
+
+    Args:
+      data: Content of a file.
+      offset: Byte after which frames are looked for.
+      sequence: Only a frame with a greater number counts.
+    """
     at = data.find(MAGIC, offset + 1)
     while at >= 0:
         found = decode(data, at)
