Ask for a trial only after its strike is logged

Cause: a crashing search lost all 3 replicas of one shard at load 34, one request after another. An entry sends the strike and the question for a trial to control at the same time. When the question comes first, control knows no strike, clears the request, and it runs again without a trial: one server more is lost.

Ruled out: the canary's time, because all lost servers hold one shard; resends through other entries, because the first answer was quarantined already.

The fake control of the tests answers strikes unless told to hold them.

--- a/auburnway/entry/crash_guard.py
+++ b/auburnway/entry/crash_guard.py
@@ -6,6 +6,7 @@
 cleared.
 """
 
+import collections
 from collections import abc
 import typing
 
@@ -45,6 +46,10 @@
         self._entry_name = entry_name
         self._entry_incarnation = entry_incarnation
         self._relay = relay
+        # Strikes by fingerprint that control has not answered yet, and the
+        # calls that wait for them.
+        self._unlogged: collections.Counter[str] = collections.Counter()
+        self._waiting: dict[str, list[abc.Callable[[bool], None]]] = {}
 
     def fingerprint(self, request: request_lib.Request) -> str:
         """Identifies requests that are likely to behave alike."""
@@ -82,6 +87,16 @@
         now_ms = self._clock.now_ms()
         if self._quarantine.strike(fingerprint, _incarnation(row), now_ms):
             self._relay(self._quarantine.export(now_ms))
+        self._unlogged[fingerprint] += 1
+
+        def on_logged(reply):
+            self._unlogged[fingerprint] -= 1
+            if not self._unlogged[fingerprint]:
+                del self._unlogged[fingerprint]
+                is_logged = reply is not None and not reply.error.code
+                for call in self._waiting.pop(fingerprint, ()):
+                    call(is_logged)
+
         self._call(
             "Strike",
             control_pb2.StrikeRequest(
@@ -90,7 +105,7 @@
                 backend_incarnation=_incarnation(row),
                 entry_name=self._entry_name,
             ),
-            lambda reply: None,
+            on_logged,
         )
 
     def acquire_trial(
@@ -119,16 +134,25 @@
                 self._quarantine.refuse(fingerprint, until_ms)
             on_state(reply.state)
 
-        self._call(
-            "GrantTrial",
-            control_pb2.TrialRequest(
-                fingerprint=fingerprint,
-                entry_name=self._entry_name,
-                entry_incarnation=self._entry_incarnation,
-            ),
-            on_reply,
+        message = control_pb2.TrialRequest(
+            fingerprint=fingerprint,
+            entry_name=self._entry_name,
+            entry_incarnation=self._entry_incarnation,
         )
 
+        def ask(is_logged):
+            if is_logged:
+                self._call("GrantTrial", message, on_reply)
+            else:
+                on_state("unavailable")
+
+        # Calls may overtake each other. Control would clear a request whose
+        # strike it does not know yet.
+        if self._unlogged[fingerprint]:
+            self._waiting.setdefault(fingerprint, []).append(ask)
+        else:
+            ask(True)
+
     def end_trial(
         self,
         request: request_lib.Request,
--- a/auburnway/entry/testing.py
+++ b/auburnway/entry/testing.py
@@ -87,17 +87,21 @@
 class FakeControl:
     """Answers each method from a list of replies, in order.
 
-    A method without replies left is not answered; None is a failed call.
+    A method without replies left is not answered, except strikes unless
+    `holds_strikes`; None is a failed call.
     """
 
     def __init__(self):
         self.replies: dict[str, list] = {}
         self.calls: list[tuple[str, object]] = []
         self.pending: list = []
+        self.holds_strikes = False
 
     def call_async(self, method, request, timeout_ms, on_done):
         self.calls.append((method, request))
         replies = self.replies.get(method)
+        if not replies and method == "Strike" and not self.holds_strikes:
+            replies = [control_pb2.TrialReply()]
         if not replies:
             self.pending.append((method, on_done))
             return
