--- a/auburnway/core/answer.py
+++ b/auburnway/core/answer.py
@@ -50,7 +50,7 @@
     Attributes:
       request_id: The request answered.
       error: Why, with the remedy.
-      retry_after_ms: When to send it again; None when that would not help.
+      retry_after_ms: When to send it again; None for no advice.
     """
 
     request_id: str
@@ -67,7 +67,7 @@
     Attributes:
       request_id: The request answered.
       error: Why it is not known, with the remedy.
-      retry_after_ms: When to send it again; None to leave that to the caller.
+      retry_after_ms: When to send it again; None for no advice.
     """
 
     request_id: str
--- a/auburnway/kernel/timers.py
+++ b/auburnway/kernel/timers.py
@@ -20,7 +20,7 @@
 
     Attributes:
       due_ms: Monotonic instant at which it is called.
-      call: What is called; None once it ran or was cancelled.
+      call: What is called; None once it was cancelled.
     """
 
     __slots__ = ("due_ms", "call")
