Hand replies of control to the loop in one place

Cause: entry.claim_client and entry.crash_guard each turned the outcome of a call to control into a reply or None and posted it to the loop, in equal lines. Ruled out: using it in entry.lease too, which needs the outcome itself with the instant of sending; a base class for the two clients. Change: `entry.control_call.call`, used by both. Conclusion: no change of behaviour.

--- a/auburnway/entry/claim_client.py
+++ b/auburnway/entry/claim_client.py
@@ -9,10 +9,9 @@
 import dataclasses
 import typing
 
-from returns import pipeline
-
 from auburnway.core import claims
 from auburnway.core import clock as clock_lib
+from auburnway.entry import control_call
 from auburnway.kernel import mailbox as mailbox_lib
 from auburnway.kernel import timers as timers_lib
 from auburnway.rpc import control_errors
@@ -191,10 +190,11 @@
         self._call("Claim", message, timeout_ms, on_reply)
 
     def _call(self, method, message, timeout_ms, on_reply) -> None:
-        def on_done(outcome):
-            reply = None
-            if pipeline.is_successful(outcome):
-                reply = outcome.unwrap()
-            self._mailbox.post(lambda: on_reply(reply))
-
-        self._control.call_async(method, message, timeout_ms, on_done)
+        control_call.call(
+            self._control,
+            self._mailbox,
+            method,
+            message,
+            timeout_ms,
+            on_reply,
+        )
--- a/auburnway/entry/crash_guard.py
+++ b/auburnway/entry/crash_guard.py
@@ -9,11 +9,10 @@
 from collections import abc
 import typing
 
-from returns import pipeline
-
 from auburnway.core import clock as clock_lib
 from auburnway.core import membership
 from auburnway.core import request as request_lib
+from auburnway.entry import control_call
 from auburnway.kernel import mailbox as mailbox_lib
 from auburnway.policy import quarantine as quarantine_lib
 from auburnway.rpc import control_pb2
@@ -162,10 +161,11 @@
         self._quarantine.merge(strikes, self._clock.now_ms())
 
     def _call(self, method, message, on_reply) -> None:
-        def on_done(outcome):
-            reply = None
-            if pipeline.is_successful(outcome):
-                reply = outcome.unwrap()
-            self._mailbox.post(lambda: on_reply(reply))
-
-        self._control.call_async(method, message, CONTROL_TIMEOUT_MS, on_done)
+        control_call.call(
+            self._control,
+            self._mailbox,
+            method,
+            message,
+            CONTROL_TIMEOUT_MS,
+            on_reply,
+        )
