--- a/auburnway/entry/fan_out_test.py
+++ b/auburnway/entry/fan_out_test.py
@@ -1,8 +1,10 @@
 import pytest
 
 from auburnway.core import answer as answer_lib
+from auburnway.core import membership
 from auburnway.entry import fan_out
 from auburnway.entry import testing
+from auburnway.policy import retry_budget
 from auburnway.rpc import control_pb2
 
 
@@ -144,6 +146,18 @@
     assert bench.control.count("GrantTrial") == 1
 
 
+def test_lost_canary_without_budget_ends_the_query_and_its_trial():
+    # Guards against a trial that is held, idle, until the deadline.
+    bench = testing.Bench(canary="unseen")
+    bench.control.replies["GrantTrial"] = [trial_reply("granted")]
+    bench.backends.budget = retry_budget.Budget()
+    start(bench)
+    bench.pool.lose(bench.pool.waiting()[0])
+    assert bench.answers[0].coverage.share == 0.0
+    ended = [r for m, r in bench.control.calls if m == "EndTrial"]
+    assert [r.outcome for r in ended] == ["not_run"]
+
+
 def test_rest_follows_the_canary_and_is_remembered():
     bench = testing.Bench(canary="unseen")
     start(bench)
@@ -154,6 +168,27 @@
     assert len(bench.pool.waiting()) == 3
 
 
+@pytest.mark.parametrize("is_known_lost", [True, False])
+def test_lost_service_is_missing_from_an_unseen_query(is_known_lost):
+    # Guards against a canary on a shard without a replica, for which the
+    # other shards waited until the deadline and the query was not run.
+    for lost in range(3):
+        bench = testing.Bench(canary="unseen")
+        for name in (f"s{lost}-0", f"s{lost}-1"):
+            if is_known_lost:
+                bench.table.mark(name, membership.State.GONE)
+        start(bench)
+        for _ in range(200):
+            for each in bench.pool.waiting():
+                if each in bench.pool.waiting(lost):
+                    bench.pool.lose(each, reached=False)
+                else:
+                    bench.pool.answer(each)
+            bench.advance(1.0)
+        (answer,) = bench.answers
+        assert answer.coverage.missing_shards == (lost,)
+
+
 def trial_reply(state):
     return control_pb2.TrialReply(state=state)
 
