--- a/auburnway/faults/matrix_nodes.py
+++ b/auburnway/faults/matrix_nodes.py
@@ -164,6 +164,9 @@
     def pending_count(self):
         return self.pending
 
+    def close_after_response(self):
+        """Does nothing: there are no connections."""
+
     def stop_accepting(self):
         self.accepts = False
 
