Split the state's wire form from its commands

Change: core/state_codec.py holds encode and decode; Raft's configuration stands with the other records.

--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -21,6 +21,7 @@
 from auburnway.core import raft as raft_lib
 from auburnway.core import raft_records as records
 from auburnway.core import replicated_state as state_lib
+from auburnway.core import state_codec
 from auburnway.kernel import process
 from auburnway.rpc import control_errors
 from auburnway.storage import disk as disk_lib
@@ -80,7 +81,7 @@
         self._token = token
         self._join = join
         self.raft = raft_lib.Raft(
-            raft_lib.Config(identity.incarnation),
+            records.Config(identity.incarnation),
             store.hard_state,
             store.log,
             loop.clock,
@@ -333,7 +334,7 @@
     def _restore(self, snapshot: records.Snapshot) -> None:
         self.state = state_lib.EMPTY_STATE
         if snapshot.data:
-            self.state = state_lib.decode_state(snapshot.data)
+            self.state = state_codec.decode(snapshot.data)
         self.applied_index = snapshot.index
 
     def _follow_role(self) -> None:
@@ -360,7 +361,7 @@
         covered = index - self._store.log.snapshot.index
         if covered < SNAPSHOT_ENTRIES or self._compaction is not None:
             return
-        data = state_lib.encode_state(self.state)
+        data = state_codec.encode(self.state)
         job = self._store.begin_compaction(index, data, self._executor)
         self._compaction = (index, data, job)
         job.add_done_callback(lambda _: self.post(lambda: None))
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -10,7 +10,6 @@
 """
 
 from collections import abc
-import dataclasses
 import functools
 import random
 
@@ -19,28 +18,6 @@
 from auburnway.core import raft_log
 from auburnway.core import raft_records as records
 
-HEARTBEAT_MS = 100.0
-ELECTION_MIN_MS = 500.0
-ELECTION_MAX_MS = 1000.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Config:
-    """Identity and periods of one node.
-
-    Attributes:
-      incarnation: Identity of this life of the data folder.
-      heartbeat_ms: Period of the leader's heartbeats.
-      election_min_ms: Least time without a leader before an election. A node
-        that heard its leader within it ignores other candidates.
-      election_max_ms: Greatest such time.
-    """
-
-    incarnation: str
-    heartbeat_ms: float = HEARTBEAT_MS
-    election_min_ms: float = ELECTION_MIN_MS
-    election_max_ms: float = ELECTION_MAX_MS
-
 
 class Raft:
     """One Raft node.
@@ -55,7 +32,7 @@
 
     def __init__(
         self,
-        config: Config,
+        config: records.Config,
         hard_state: records.HardState,
         log: raft_log.Log,
         clock: clock_lib.Clock,
--- a/auburnway/core/raft_model_test.py
+++ b/auburnway/core/raft_model_test.py
@@ -46,7 +46,7 @@
     def start(self):
         self.store = store_lib.Store(self.disk)
         self.raft = raft_lib.Raft(
-            raft_lib.Config(self.identity.incarnation),
+            records.Config(self.identity.incarnation),
             self.store.hard_state,
             self.store.log,
             self.cluster.clock,
--- a/auburnway/core/raft_records.py
+++ b/auburnway/core/raft_records.py
@@ -5,6 +5,10 @@
 
 import msgpack
 
+HEARTBEAT_MS = 100.0
+ELECTION_MIN_MS = 500.0
+ELECTION_MAX_MS = 1000.0
+
 
 class Kind(enum.Enum):
     """What a log entry holds."""
@@ -236,3 +240,21 @@
     reads: tuple[Read, ...] = ()
     failed_reads: tuple[int, ...] = ()
     role: Role = Role.FOLLOWER
+
+
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """Identity and periods of one node.
+
+    Attributes:
+      incarnation: Identity of this life of the data folder.
+      heartbeat_ms: Period of the leader's heartbeats.
+      election_min_ms: Least time without a leader before an election. A node
+        that heard its leader within it ignores other candidates.
+      election_max_ms: Greatest such time.
+    """
+
+    incarnation: str
+    heartbeat_ms: float = HEARTBEAT_MS
+    election_min_ms: float = ELECTION_MIN_MS
+    election_max_ms: float = ELECTION_MAX_MS
--- a/auburnway/core/raft_test.py
+++ b/auburnway/core/raft_test.py
@@ -93,7 +93,7 @@
     entry = records.Entry(1, 1, records.Kind.COMMAND, b"x")
     clock = clock_lib.ManualClock()
     raft = raft_lib.Raft(
-        raft_lib.Config("a"),
+        records.Config("a"),
         records.HardState(3),
         raft_log.Log(records.Snapshot(members=members), (entry,)),
         clock,
--- a/auburnway/core/replicated_state.py
+++ b/auburnway/core/replicated_state.py
@@ -3,7 +3,7 @@
 `apply` depends only on the state, the log index and the command, so that every
 replica that applies the same log holds the same state. The state is changed in
 place, because a copy per claim would cost time in proportion to all claims:
-`apply` consumes the state that it is given and returns it. `encode_state` is
+`apply` consumes the state that it is given and returns it. `state_codec` is
 canonical: equal states have equal bytes, whatever order their dictionaries
 were filled in.
 """
@@ -12,7 +12,6 @@
 import functools
 import json
 
-import msgpack
 from returns import pipeline
 
 from auburnway.core import audit as audit_lib
@@ -45,7 +44,6 @@
 encode_command = commands.encode
 decode_command = commands.decode
 
-_FORMAT = 1
 # Bounds what a refused attempt adds to the audit trail.
 _MAX_REASON_LENGTH = 1000
 
@@ -466,55 +464,3 @@
             detail=detail,
         ),
     )
-
-
-def encode_state(state: State) -> bytes:
-    """Returns the canonical msgpack form of a state."""
-    return msgpack.packb(
-        [
-            _FORMAT,
-            state.index,
-            state.wall_ms,
-            state.retention_ms,
-            state.floor_ms,
-            configuration_lib.encode(state.configuration),
-            _rows(state.receipts[n] for n in sorted(state.receipts)),
-            _rows(state.claims.records()),
-            _rows(state.trials.records()),
-            _rows(state.entries[name] for name in sorted(state.entries)),
-            _rows(state.audit),
-        ]
-    )
-
-
-def decode_state(data: bytes) -> State:
-    """Returns the state of its msgpack form.
-
-    Raises:
-      ValueError, TypeError: The bytes are no state of this format.
-    """
-    version, *fields = msgpack.unpackb(data, use_list=False)
-    if version != _FORMAT:
-        raise ValueError(f"state has format {version}, expected {_FORMAT}")
-    index, wall_ms, retention_ms, floor_ms, configuration, *tables = fields
-    receipts, claim_rows, trial_rows, entries, rows = tables
-    return State(
-        index=index,
-        wall_ms=wall_ms,
-        retention_ms=retention_ms,
-        floor_ms=floor_ms,
-        configuration=configuration_lib.decode(configuration),
-        receipts={row[0]: Receipt(*row) for row in receipts},
-        claims=claims_lib.Book(claims_lib.Record(*row) for row in claim_rows),
-        trials=trials_lib.Ledger(trials_lib.Record(*row) for row in trial_rows),
-        entries={row[0]: Entry(*row) for row in entries},
-        audit=[audit_lib.Row(*row) for row in rows],
-    )
-
-
-def _rows(records) -> list[list]:
-    # dataclasses.astuple copies deeply and takes several times as long.
-    return [
-        [getattr(record, field.name) for field in dataclasses.fields(record)]
-        for record in records
-    ]
--- a/auburnway/core/replicated_state_test.py
+++ b/auburnway/core/replicated_state_test.py
@@ -9,6 +9,7 @@
 from auburnway.core import claims
 from auburnway.core import note_errors
 from auburnway.core import replicated_state as rs
+from auburnway.core import state_codec
 
 NAMES = ("e1", "e2", "e3")
 CALLERS = ("c1", "c2")
@@ -240,9 +241,9 @@
 
     @stateful.rule()
     def restart_replica(self):
-        data = rs.encode_state(self.state)
-        self.state = rs.decode_state(data)
-        assert rs.encode_state(self.state) == data
+        data = state_codec.encode(self.state)
+        self.state = state_codec.decode(data)
+        assert state_codec.encode(self.state) == data
 
     @stateful.invariant()
     def derived_data_agrees(self):
@@ -262,7 +263,7 @@
         for index, command in self.log:
             data = rs.encode_command(command)
             replayed, _ = rs.apply(replayed, index, rs.decode_command(data))
-        assert rs.encode_state(replayed) == rs.encode_state(self.state)
+        assert state_codec.encode(replayed) == state_codec.encode(self.state)
         assert audit.verify(self.state.audit) is None
 
 
--- /dev/null
+++ b/auburnway/core/state_codec.py
@@ -0,0 +1,65 @@
+"""Wire form of the replicated state, for snapshots of the log."""
+
+import dataclasses
+
+import msgpack
+
+from auburnway.core import audit as audit_lib
+from auburnway.core import claims as claims_lib
+from auburnway.core import configuration as configuration_lib
+from auburnway.core import replicated_state
+from auburnway.core import trials as trials_lib
+
+_FORMAT = 1
+
+
+def encode(state: replicated_state.State) -> bytes:
+    """Returns the canonical msgpack form of a state."""
+    return msgpack.packb(
+        [
+            _FORMAT,
+            state.index,
+            state.wall_ms,
+            state.retention_ms,
+            state.floor_ms,
+            configuration_lib.encode(state.configuration),
+            _rows(state.receipts[n] for n in sorted(state.receipts)),
+            _rows(state.claims.records()),
+            _rows(state.trials.records()),
+            _rows(state.entries[name] for name in sorted(state.entries)),
+            _rows(state.audit),
+        ]
+    )
+
+
+def decode(data: bytes) -> replicated_state.State:
+    """Returns the state of its msgpack form.
+
+    Raises:
+      ValueError, TypeError: The bytes are no state of this format.
+    """
+    version, *fields = msgpack.unpackb(data, use_list=False)
+    if version != _FORMAT:
+        raise ValueError(f"state has format {version}, expected {_FORMAT}")
+    index, wall_ms, retention_ms, floor_ms, configuration, *tables = fields
+    receipts, claim_rows, trial_rows, entries, rows = tables
+    return replicated_state.State(
+        index=index,
+        wall_ms=wall_ms,
+        retention_ms=retention_ms,
+        floor_ms=floor_ms,
+        configuration=configuration_lib.decode(configuration),
+        receipts={row[0]: replicated_state.Receipt(*row) for row in receipts},
+        claims=claims_lib.Book(claims_lib.Record(*row) for row in claim_rows),
+        trials=trials_lib.Ledger(trials_lib.Record(*row) for row in trial_rows),
+        entries={row[0]: replicated_state.Entry(*row) for row in entries},
+        audit=[audit_lib.Row(*row) for row in rows],
+    )
+
+
+def _rows(records) -> list[list]:
+    # dataclasses.astuple copies deeply and takes several times as long.
+    return [
+        [getattr(record, field.name) for field in dataclasses.fields(record)]
+        for record in records
+    ]
