End the fleet of a bench that is terminated

Ruled out: a process group of its own for the fleet, which the demonstration does not use either. Change: SIGTERM raises SystemExit, so the context managers end all processes.

--- a/auburnway/load/bench.py
+++ b/auburnway/load/bench.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -55,6 +56,8 @@
         "--out", default="bench-results", help="folder for reports"
     )
     options = parser.parse_args(arguments)
+    # Without this a terminated bench would leave its fleet running.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     shape = process.load_settings(bench_settings.Shape, options.fleet)
     note = pathlib.Path(options.fleet).parent / shape.note_file
     scenarios = [
