Vary the order in which a woken process of the matrix reads its inbox

Cause: a read answered without a quorum round stayed green, because a frozen leader met the new leader's heartbeats in its inbox before any read. Sockets have no common order, so a read can come first.

Change: a woken process runs timers first, messages as they came, or messages of callers and operators first; with all events, each order is tried at each.

Conclusion: no rule about votes is proved by this matrix; raft_model_test has the checks for them.

--- a/auburnway/faults/matrix.py
+++ b/auburnway/faults/matrix.py
@@ -276,13 +276,17 @@
     return None
 
 
-def run_case(column_name: str, row_name: str, k: int) -> Outcome:
+def run_case(
+    column_name: str, row_name: str, k: int, variant: int | None = None
+) -> Outcome:
     """Injects a fault at the k-th event of a protocol step.
 
     Args:
       column_name: Key of `COLUMNS`.
       row_name: Key of `matrix_faults.ROWS`.
       k: Event number from 0.
+      variant: Varies details of the fault, such as the order in which a
+        process that wakes handles what waited; None takes `k`.
     """
     column = COLUMNS[column_name]
     chosen = (faults.ROWS[row_name],)
@@ -309,7 +313,7 @@
             victim = _victim(case, fault, source, target, k, spare)
             if victim is not None:
                 victims.append(victim)
-                fault(case, victim, k)
+                fault(case, victim, k if variant is None else variant)
             elif not victims:
                 # This event offers no victim; the case is not counted.
                 victims.extend([None] * len(chosen))
@@ -360,10 +364,13 @@
     count, found = 0, []
     events = event_count(column_name)
     step = 1 if limit is None else max(-(-events // limit), 1)
+    # With all events, a process that wakes is tried in each order.
+    is_whole = limit is None and faults.ROWS[row_name] is faults.freeze
     for k in range(0, events, step):
-        outcome = run_case(column_name, row_name, k)
-        count += outcome.is_injected
-        found.extend(f"k={k}: {each}" for each in outcome.violations[:2])
+        for variant in range(3) if is_whole else (None,):
+            outcome = run_case(column_name, row_name, k, variant)
+            count += outcome.is_injected
+            found.extend(f"k={k}: {each}" for each in outcome.violations[:2])
     COUNTS[column_name, row_name] = count
     return count, found
 
--- a/auburnway/faults/matrix_faults.py
+++ b/auburnway/faults/matrix_faults.py
@@ -86,7 +86,7 @@
 def freeze(case, victim, k) -> None:
     """Stops a process for longer than a lease."""
     victim.freeze()
-    end(case, FAULT_MS, lambda: victim.wake(timers_first=k % 2 == 0))
+    end(case, FAULT_MS, lambda: victim.wake(order=k % 3))
 
 
 def slow_down(case, victim, k) -> None:
--- a/auburnway/faults/matrix_fleet.py
+++ b/auburnway/faults/matrix_fleet.py
@@ -84,7 +84,7 @@
             if (source, target) in self.cuts or process is None:
                 return
             if process.alive:
-                process.take(call)
+                process.take(call, source)
             elif refused is not None and (target, source) not in self.cuts:
                 self.later(
                     LATENCY_MS, lambda: self.processes[source].take(refused)
@@ -154,12 +154,12 @@
     def build(self) -> None:
         """Builds what runs in the process."""
 
-    def take(self, call: abc.Callable[[], None]) -> None:
+    def take(self, call: abc.Callable[[], None], source: str = "") -> None:
         """Runs a function in the process, or keeps it while frozen."""
         if not self.alive:
             return
         if self.inbox is not None:
-            self.inbox.append(call)
+            self.inbox.append((source, call))
             return
         previous, self.world.current = self.world.current, self
         life = self.life
@@ -190,14 +190,21 @@
         if self.alive and self.inbox is None:
             self.inbox = []
 
-    def wake(self, timers_first: bool) -> None:
-        """Lets a frozen process go on with all that waited."""
+    def wake(self, order: int) -> None:
+        """Lets a frozen process go on with all that waited.
+
+        Args:
+          order: 0 for timers first, 1 for messages as they came, 2 for those
+            of operators and callers first: sockets have no common order.
+        """
         inbox, self.inbox = self.inbox, None
         if inbox is None or not self.alive:
             return
-        if timers_first:
+        if order == 0:
             self.take(self.timers.run_due)
-        for call in inbox:
+        elif order == 2:
+            inbox.sort(key=lambda item: item[0], reverse=True)
+        for _, call in inbox:
             self.take(call)
 
 
