Give a receipt once a majority of entries has the release note

Ruled out: holding back the commit itself; entries learn of a note only once it is committed. Change: the receipt waits up to 2 s for acknowledgements; without them the answer is uncertain and the operator's command sends the note again. The matrix waits for operators that still have a call open before its last check. Conclusion: who holds a receipt knows that no majority serves without the note.

--- a/auburnway/control/entries.py
+++ b/auburnway/control/entries.py
@@ -28,6 +28,10 @@
 # How soon a change of the entry set that must wait is tried again.
 RETRY_MS = 25.0
 MAINTENANCE_PERIOD_MS = 1000.0
+# An operator's call waits this long for entries to acknowledge; a lease and a
+# renewal fit in it.
+ACKNOWLEDGE_WAIT_MS = 2000.0
+ACKNOWLEDGE_LOOK_MS = 10.0
 # Replies that are sent at once to an entry that does not yet surely hold a
 # lease, so that it does so after two round trips instead of two full polls.
 QUICK_ANSWERS = 3
@@ -137,6 +141,36 @@
         )
         return not entries or held * 2 > len(entries)
 
+    def await_majority(
+        self, number: int, on_end: abc.Callable[[bool], None]
+    ) -> None:
+        """Waits until a majority of the entries acknowledged a number.
+
+        Args:
+          number: Number of an accepted release note.
+          on_end: Called with False when that takes over
+            `ACKNOWLEDGE_WAIT_MS` or leadership is lost.
+        """
+        deadline_ms = self._clock.now_ms() + ACKNOWLEDGE_WAIT_MS
+
+        def look():
+            if self._leases is None or self._clock.now_ms() > deadline_ms:
+                on_end(False)
+            elif self._acknowledged_by_majority(number):
+                on_end(True)
+            else:
+                self._timers.after(ACKNOWLEDGE_LOOK_MS, look)
+
+        look()
+
+    def _acknowledged_by_majority(self, number: int) -> bool:
+        entries = self._node.state.entries.values()
+        leases = [self._leases.find(e.name, e.incarnation) for e in entries]
+        count = sum(
+            lease is not None and lease.number >= number for lease in leases
+        )
+        return not entries or count * 2 > len(entries)
+
     def set_revision(self) -> int:
         """Returns the audit revision of the last change of the entry set."""
         audit = self._node.state.audit
--- a/auburnway/control/operations.py
+++ b/auburnway/control/operations.py
@@ -18,6 +18,7 @@
 from auburnway.core import raft_records as records
 from auburnway.core import replicated_state as state_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.rpc import control_errors
 from auburnway.rpc import control_pb2 as pb
 
 # Moves the retention floor when nothing else stamps the log.
@@ -161,10 +162,33 @@
             command = state_lib.AcceptNote(
                 request.text, request.author, self._clock.wall_ms()
             )
-            self._node.propose(command, lambda reply: done(_note_reply(reply)))
+            self._node.propose(
+                command, lambda reply: self._on_note(_note_reply(reply), done)
+            )
 
         self._node.read(on_read)
 
+    def _on_note(self, reply: pb.ApplyReply, done: Done) -> None:
+        """Gives the receipt once a majority of the entries has the note.
+
+        Entries that lost all leases right after the commit would otherwise go
+        on under the old number as a majority without leases (design, 8.1),
+        although an operator holds a receipt.
+        """
+        if reply.errors:
+            done(reply)
+            return
+
+        def on_end(is_acknowledged: bool) -> None:
+            if is_acknowledged:
+                done(reply)
+                return
+            detail = f"no majority of entries has acknowledged {reply.number}"
+            error = control_errors.OutcomeUncertain(detail, "Apply")
+            done(pb.ApplyReply(errors=_errors((error,))))
+
+        self._entries.await_majority(reply.number, on_end)
+
     def claim(self, request: pb.ClaimRequest, done: Done) -> None:
         """Claims the right to run a request."""
         command = state_lib.Claim(
--- a/auburnway/control/operations_test.py
+++ b/auburnway/control/operations_test.py
@@ -53,13 +53,17 @@
             self.clock.advance(25.0)
             self.loop.timers.run_due()
 
-    def call(self, name, request):
+    def call(self, name, request, meanwhile=None):
+        """Makes a call; `meanwhile` runs before its reply is waited for."""
         replies = []
         self.node.post(
             lambda: getattr(self.operations, name)(request, replies.append)
         )
         self.node._on_wake(None)
-        for _ in range(40):
+        if meanwhile is not None:
+            self.run(50.0)
+            meanwhile()
+        for _ in range(100):
             if replies or self.node.exit_code:
                 break
             self.run(25.0)
@@ -86,10 +90,16 @@
                 for _ in range(2):
                     self.renew(other)
 
-    def accept(self, number, author="o", extra=""):
+    def accept(self, number, author="o", extra="", acknowledged_by=()):
         text = f'number = {number}\nauthor = "{author}"\nsummary = "s"\n{extra}'
         text += f'[[add.caller]]\nname = "caller{number}"\n'
-        return self.call("apply", pb.NoteRequest(text=text, author=author))
+
+        def acknowledge():
+            for name in acknowledged_by:
+                self.renew(name, number=number)
+
+        request = pb.NoteRequest(text=text, author=author)
+        return self.call("apply", request, acknowledge)
 
 
 @pytest.fixture
@@ -105,7 +115,8 @@
     # Guards against a note that entries without leases never learn of.
     assert not _codes(control.accept(1))
     control.add_entries("e1", "e2", "e3")
-    assert not _codes(control.accept(2))
+    both = ("e1", "e2")
+    assert not _codes(control.accept(2, acknowledged_by=both))
     control.run(1600.0)
     assert _codes(control.accept(3)) == ["no_entry_majority"]
     # A resend of an accepted note gets its receipt in any case.
@@ -116,13 +127,27 @@
     for _ in range(3):
         control.renew("e2", number=2)
         control.renew("e1", number=2)
-    assert not _codes(control.accept(3))
+    assert not _codes(control.accept(3, acknowledged_by=both))
+
+
+def test_receipt_waits_until_a_majority_of_entries_has_the_note(control):
+    # Guards against a receipt for a note that no entry knows: all could lose
+    # their leases and go on under the old number as a majority.
+    control.add_entries("e1", "e2", "e3")
+    one = control.accept(1, acknowledged_by=("e1",))
+    assert _codes(one) == ["outcome_uncertain"]
+    for name in ("e1", "e2", "e3"):
+        for _ in range(3):
+            control.renew(name)
+    again = control.accept(1, acknowledged_by=("e1", "e2"))
+    assert not _codes(again)
+    assert again.repeated_submission
 
 
 def test_lost_replies_do_not_count_as_leases(control):
     # Guards against a one-way cut: requests arrive, but no lease does.
     control.add_entries("e1")
-    assert not _codes(control.accept(1))
+    assert not _codes(control.accept(1, acknowledged_by=("e1",)))
     for _ in range(6):
         control.run(300.0)
         control.renew("e1", is_received=False)
@@ -132,14 +157,11 @@
 def test_in_force_needs_acknowledgement_or_the_end_of_the_lease(control):
     control.run(1600.0)
     control.add_entries("e1", "e2", "e3")
-    assert not _codes(control.accept(1))
+    assert not _codes(control.accept(1, acknowledged_by=("e1", "e2")))
 
     def everywhere():
         return control.call("in_force", pb.ReadRequest()).everywhere
 
-    assert not everywhere()
-    control.renew("e1", number=1)
-    control.renew("e2", number=1)
     # The third may still serve the old number until its lease ends.
     assert not everywhere()
     control.run(1600.0)
@@ -155,9 +177,7 @@
         control.run(300.0)
         for name in ("e1", "e2"):
             control.renew(name)
-    assert not _codes(control.accept(1))
-    for name in ("e1", "e2"):
-        control.renew(name, number=1)
+    assert not _codes(control.accept(1, acknowledged_by=("e1", "e2")))
     assert not control.call("in_force", pb.ReadRequest()).everywhere
     for _ in range(6):
         control.run(300.0)
--- a/auburnway/faults/matrix_case.py
+++ b/auburnway/faults/matrix_case.py
@@ -92,6 +92,7 @@
         for number in range(2):
             nodes.Server(self.world, f"d{number}", 0, 1)
         self.outside = nodes.Outside(self.world, "outside")
+        self.open_notes = 0
         self.world.on_ran = self._check
         for process in tuple(self.world.processes.values()):
             process.start()
@@ -109,7 +110,10 @@
     def apply(self, text: str, address: str = "", on_done=None) -> None:
         """Sends a release note."""
 
+        self.open_notes += 1
+
         def on_reply(outcome):
+            self.open_notes -= 1
             reply = (
                 outcome.unwrap() if pipeline.is_successful(outcome) else None
             )
@@ -259,8 +263,10 @@
                 for m in p.node.raft.members
                 if m.voter
             }
+            # An operator who still waits may send the next note.
             return (
-                all(self.process(n).alive for n in CONTROLS)
+                not self.open_notes
+                and all(self.process(n).alive for n in CONTROLS)
                 and voters
                 == {self.process(n).node.identity.incarnation for n in CONTROLS}
                 and all(
@@ -278,7 +284,10 @@
                 receipt = self.process(name).node.state.receipts.get(number)
                 if receipt is None or receipt.digest != digest:
                     self.fail(f"{name} lost the accepted note {number}")
-        number = max(self.winners) + 1
+        # A note may be committed although its receipt was held back or lost.
+        number = 1 + max(
+            self.process(n).node.state.configuration.number for n in CONTROLS
+        )
         self.apply(
             note_text(number, "end"),
             on_done=lambda reply: self.state.update(end=reply),
