--- a/auburnway/faults/matrix_case.py
+++ b/auburnway/faults/matrix_case.py
@@ -109,7 +109,6 @@
 
     def apply(self, text: str, address: str = "", on_done=None) -> None:
         """Sends a release note."""
-
         self.open_notes += 1
 
         def on_reply(outcome):
