--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -126,11 +126,7 @@
         return is_learner and not self.hears_leader()
 
     def step(self, message: records.Message) -> records.Output:
-        """Handles one received message.
-
-        A message for another incarnation, or from a sender that the member
-        set does not allow, is ignored.
-        """
+        """Handles a received message; one for another target is ignored."""
         if message.target == self.config.incarnation and self._admits(message):
             _handle(message, self)
         return self._take_output()
@@ -175,22 +171,15 @@
         return self._take_output()
 
     def join(self, member: records.Member) -> records.Output:
-        """Adds a learner that will replace its name's old incarnation.
-
-        Without effect unless this node is the leader.
-
-        Args:
-          member: New incarnation; `voter` is not looked at.
-        """
+        """Adds, as the leader, a learner that replaces its name's old life."""
         if self._leading is not None:
             self._leading.join(member)
         return self._take_output()
 
     def transfer(self) -> records.Output:
-        """Hands leadership to the voter that is most caught up.
+        """Hands leadership, if held, to the voter that is most caught up.
 
-        Without effect unless this node is the leader. Proposals are refused
-        until it succeeds or `election_max_ms` has passed.
+        Proposals are refused until then, for at most `election_max_ms`.
         """
         if self._leading is not None:
             self._leading.transfer()
@@ -417,7 +406,8 @@
                 self._reply(message, True, previous)
                 return
         elif self.log.term(previous) != message.previous_term:
-            self._reply(message, False, self._look_back(previous))
+            index = self.log.look_back(previous, self.commit)
+            self._reply(message, False, index)
             return
         last = previous + len(entries)
         new = [e for e in entries if self.log.term(e.index) != e.term]
@@ -426,16 +416,6 @@
         self.commit_to(min(message.commit, last))
         self._reply(message, True, last)
 
-    def _look_back(self, previous: int) -> int:
-        """Returns an index at or before which the logs may match."""
-        if previous > self.log.last_index:
-            return self.log.last_index
-        # Skip the whole conflicting term in one exchange.
-        term, index = self.log.term(previous), previous - 1
-        while index > self.commit and self.log.term(index) == term:
-            index -= 1
-        return index
-
     def on_snapshot(self, message: records.InstallSnapshot) -> None:
         """Adopts a snapshot that is newer than the commit index."""
         if not self._follow(message):
--- a/auburnway/core/raft_log.py
+++ b/auburnway/core/raft_log.py
@@ -96,6 +96,21 @@
             chosen.append(entry)
         return tuple(chosen)
 
+    def look_back(self, previous: int, commit: int) -> int:
+        """Returns an index at or before which another log may match.
+
+        Args:
+          previous: Index at which the logs differ.
+          commit: Commit index; the logs match up to it.
+        """
+        if previous > self.last_index:
+            return self.last_index
+        # Skip the whole conflicting term in one exchange.
+        term, index = self.term(previous), previous - 1
+        while index > commit and self.term(index) == term:
+            index -= 1
+        return index
+
     def put(self, entries: abc.Sequence[records.Entry]) -> bool:
         """Adds entries, replacing those from the first one's index on.
 
--- a/auburnway/core/replicated_state.py
+++ b/auburnway/core/replicated_state.py
@@ -60,15 +60,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Receipt:
-    """Acceptance of one release note.
-
-    Attributes:
-      number: Number of the note.
-      digest: Digest of the note, by which a resend is recognised.
-      author: Operator who sent it, or the author in its text.
-      revision: Revision of its row in the audit trail.
-      accepted_wall_ms: When it was accepted, ms since the Unix epoch.
-    """
+    """Acceptance of one release note; fields as in `commands.NoteReply`."""
 
     number: int
     digest: str
@@ -79,15 +71,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """A registered entry.
-
-    Attributes:
-      name: Unique name.
-      incarnation: Identifies this life of its process.
-      data_center: Data centre that it runs in.
-      caller_address: Where callers connect, `ip:port`.
-      peer_address: Where other entries send datagrams, `ip:port`.
-    """
+    """A registered entry; fields as in `commands.RegisterEntry`."""
 
     name: str
     incarnation: str
@@ -183,20 +167,16 @@
     if found:
         return _refuse(state, command, note.number, digest, found)
     receipt = state.receipts.get(note.number)
-    if receipt is not None:
-        return commands.NoteReply(
-            number=receipt.number,
-            digest=receipt.digest,
-            revision=receipt.revision,
-            accepted_wall_ms=receipt.accepted_wall_ms,
-            repeated_submission=True,
-        )
-    receipt = _put_in_force(state, note, digest, command.author or note.author)
+    is_resend = receipt is not None
+    if not is_resend:
+        author = command.author or note.author
+        receipt = _put_in_force(state, note, digest, author)
     return commands.NoteReply(
         number=receipt.number,
         digest=receipt.digest,
         revision=receipt.revision,
         accepted_wall_ms=receipt.accepted_wall_ms,
+        repeated_submission=is_resend,
     )
 
 
