Keep the replicated state's test inside the checked ranges

Cause: the test model gave rank n the order 10 n; with ten accepted notes that is 100, over the checked range, so the model itself asked for a refused note. Which examples Hypothesis tries varied with the hash seed, so it failed in one run of four. Ruled out: a fault in the state; the refusal names the range 0 to 99. An abandoned entry's claims are counted before they leave the set.

--- a/auburnway/core/claims.py
+++ b/auburnway/core/claims.py
@@ -214,8 +214,9 @@
         Returns:
           How many there were.
         """
-        ids = self._open.get((entry_name, entry_incarnation), ())
-        for claim_id in sorted(ids):
+        # Closing a claim takes it out of the set.
+        ids = sorted(self._open.get((entry_name, entry_incarnation), ()))
+        for claim_id in ids:
             record = self._records[claim_id]
             self._put(dataclasses.replace(record, state="unknown"))
         return len(ids)
--- a/auburnway/core/replicated_state_test.py
+++ b/auburnway/core/replicated_state_test.py
@@ -19,8 +19,7 @@
 def note_text(number, order=0):
     return (
         f'number = {number}\nauthor = "kim"\nsummary = "s"\n'
-        f'[[add.rank]]\nname = "r{number}"\norder = {number * 10 + order}\n'
-        "floor_share = 0.001\nlatency_target_ms = 300\n"
+        f'[[add.caller]]\nname = "c{number}"\nshare = {1 + order}.0\n'
     )
 
 
