Keep a reserve of the retry budget from hedges

Cause: hedges and retries share one bucket; hedges emptied it, so one server that answered 500 left 15 to 20% partial answers, against 0.3% of the baseline with three retries. Ruled out: a second bucket; both together would pass 5% extra load. Change: a hedge needs the reserve of 8 tokens to stay. Conclusion: a retry makes an answer whole, a hedge only faster.

--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -388,7 +388,8 @@
                 shard.tried.clear()
             if shard.hedges >= hedger.max_extra or not self._has_other(shard):
                 continue
-            if hedger.budgeted and not backends.budget.try_spend(now_ms):
+            budget = backends.budget
+            if hedger.budgeted and not budget.try_spend_hedge(now_ms):
                 again = True
                 break
             shard.hedges += 1
--- a/auburnway/policy/retry_budget.py
+++ b/auburnway/policy/retry_budget.py
@@ -5,6 +5,9 @@
 queues nothing is earned: spare capacity is then worth more to waiting work.
 """
 
+# Tokens that hedges leave for retries.
+RETRY_RESERVE = 8.0
+
 
 class Budget:
     """Token bucket that is filled by sub-requests."""
@@ -47,6 +50,23 @@
         self._tokens -= 1.0
         return True
 
+    def try_spend_hedge(self, now_ms: float) -> bool:
+        """Takes one token for a hedge, but leaves a reserve for retries.
+
+        A hedge only makes an answer faster, while a retry after an error
+        makes it whole. Hedges that emptied the bucket left one failing server
+        to cost 15 to 20% partial answers.
+
+        Args:
+          now_ms: Present instant, in ms.
+
+        Returns:
+          True when the hedge is allowed.
+        """
+        if self._tokens < RETRY_RESERVE + 1.0 - 1e-9:
+            return False
+        return self.try_spend(now_ms)
+
     def set_overloaded(self, is_overloaded: bool) -> None:
         """Stops or resumes earning; true while admission queues."""
         self._is_overloaded = is_overloaded
--- a/auburnway/policy/retry_budget_test.py
+++ b/auburnway/policy/retry_budget_test.py
@@ -38,3 +38,15 @@
         budget.on_sub_request()
         spent += budget.try_spend(0.0)
     assert spent == 500
+
+
+def test_hedges_leave_a_reserve_for_retries():
+    # Guards against partial answers because hedges had spent every token
+    # when a server began to fail.
+    budget = retry_budget.Budget()
+    for _ in range(1000):
+        budget.on_sub_request()
+    while budget.try_spend_hedge(0.0):
+        pass
+    retries = sum(budget.try_spend(0.0) for _ in range(100))
+    assert retries == int(retry_budget.RETRY_RESERVE)
