--- a/auburnway/faults/conftest.py
+++ b/auburnway/faults/conftest.py
@@ -17,10 +17,3 @@
     """Gives the fleet with all processes running and up to date."""
     shared_rig.repair()
     return shared_rig
-
-
-@pytest.fixture
-def own_rig():
-    """Gives a fleet to one test that changes it for good."""
-    with rig_lib.running() as rig:
-        yield rig
