Run trials one after another, and bound a planned stop without control

And an entry that stopped while control was stopped too waited for control to take outcomes without end (two teardowns of 32 and 33 s). Ruled out: keeping trials apart by backend server; control does not know where an entry will run one. Dropping outcomes at once; control usually answers. Change: control grants one trial at a time, and waits for a frozen holder 3 s at most; a stop waits 4 s for outcomes, then logs how many control lacks. Figures: test_trials_of_different_requests_run_one_after_another fails without the rule.

--- a/auburnway/core/replicated_state_test.py
+++ b/auburnway/core/replicated_state_test.py
@@ -10,6 +10,7 @@
 from auburnway.core import note_errors
 from auburnway.core import replicated_state as rs
 from auburnway.core import state_codec
+from auburnway.core import trials
 
 NAMES = ("e1", "e2", "e3")
 CALLERS = ("c1", "c2")
@@ -444,3 +445,20 @@
     states = [reply.state for reply in (first, other, again)]
     assert states == ["granted", "open", "open"]
     assert [other.entry_incarnation, again.entry_incarnation] == ["", "5"]
+
+
+def test_trials_of_different_requests_run_one_after_another():
+    # Guards against refusing an innocent request whose trial ran on the
+    # server that the cause crashed in its own trial.
+    ledger = trials.Ledger()
+    for fingerprint in "fg":
+        ledger.strike(fingerprint, ("s", "1"), 0)
+    assert ledger.grant("f", ("e1", "1"), 1) == "granted"
+    assert ledger.grant("g", ("e2", "1"), 2) == "busy"
+    ledger.end("f", "1", "passed", ("", ""), 3)
+    assert ledger.grant("g", ("e2", "1"), 4) == "granted"
+    # A frozen holder does not keep the others from their trials for ever.
+    ledger.strike("f", ("s", "2"), 5)
+    assert ledger.grant("f", ("e1", "1"), 6) == "busy"
+    later_ms = 4 + trials.EXCLUSIVE_MS
+    assert ledger.grant("f", ("e1", "1"), later_ms) == "granted"
--- a/auburnway/core/trials.py
+++ b/auburnway/core/trials.py
@@ -12,6 +12,9 @@
 REFUSAL_MS = 10 * 60_000
 # A struck request that nobody sends again is forgotten after this time.
 STRIKE_RETENTION_MS = 7 * 24 * 3_600_000
+# Other trials wait for a running one at most this long; its holder may be
+# frozen.
+EXCLUSIVE_MS = 3_000
 OUTCOMES = ("passed", "lost", "not_run")
 
 
@@ -27,6 +30,7 @@
       holder: Name and incarnation of the entry that runs a trial.
       struck_before_trial: Length of `struck` when the trial was granted.
       refused_until_wall_ms: End of the refusal; 0 when never refused.
+      granted_wall_ms: Instant of the last grant of a trial.
     """
 
     fingerprint: str
@@ -35,6 +39,7 @@
     holder: tuple[str, str] | None = None
     struck_before_trial: int = 0
     refused_until_wall_ms: int = 0
+    granted_wall_ms: int = 0
 
 
 class Ledger:
@@ -84,6 +89,10 @@
     ) -> str:
         """Grants the trial when one is required and none is running.
 
+        Trials of different requests run one after another. Otherwise the
+        trial of an innocent request may run on the backend server that the
+        cause crashes in its own trial, and both would count as lost.
+
         Args:
           fingerprint: Request to try.
           entry: Entry (name, incarnation) that asks.
@@ -95,9 +104,18 @@
         state = self.state(fingerprint, wall_ms)
         if state != "trial_required":
             return state
+        if any(
+            other.holder is not None
+            and wall_ms - other.granted_wall_ms < EXCLUSIVE_MS
+            for other in self._records.values()
+        ):
+            return "busy"
         record = self.find(fingerprint)
         self._records[fingerprint] = dataclasses.replace(
-            record, holder=entry, struck_before_trial=len(record.struck)
+            record,
+            holder=entry,
+            struck_before_trial=len(record.struck),
+            granted_wall_ms=wall_ms,
         )
         return "granted"
 
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -42,6 +42,9 @@
 EXPIRE_PERIOD_MS = 250.0
 SHARE_PERIOD_MS = 100.0
 DRAIN_CHECK_MS = 20.0
+# A planned stop waits this long for control to take outcomes. Control may be
+# stopped as well, and then it never does.
+SETTLE_WAIT_MS = 4000.0
 QUARANTINE_WINDOW_MS = 600_000.0
 
 
@@ -436,12 +439,24 @@
 
     def _stop_accepting(self) -> None:
         self._front.stop_accepting()
-        self._drain()
+        self._drain(self._clock.now_ms() + SETTLE_WAIT_MS)
 
-    def _drain(self) -> None:
-        if self._front.pending_count() or self._claims.unsettled:
-            self._loop.timers.after(DRAIN_CHECK_MS, self._drain)
+    def _drain(self, settle_until_ms: float) -> None:
+        is_settling = (
+            self._claims.unsettled and self._clock.now_ms() < settle_until_ms
+        )
+        if self._front.pending_count() or is_settling:
+            self._loop.timers.after(
+                DRAIN_CHECK_MS, lambda: self._drain(settle_until_ms)
+            )
             return
+        if self._claims.unsettled:
+            # Control turns these claims into unknown; their callers have
+            # their answers already.
+            loguru.logger.warning(
+                "stopping with outcomes that control does not have",
+                claims=self._claims.unsettled,
+            )
         self._lease.leave(self._loop.stop)
         # Without control the lease runs out by itself.
         self._loop.timers.after(
