Update the index of backend servers in place, and share shard maps

Cause: each changed row rebuilt both indexes of the table: 5.9 ms at 4,300 rows, 18.9 s to fill it, 3.2 s for a lost data centre, longer than a lease; and each row kept its own copy of a shard map, 10.8 KB at 96 shards. Ruled out: rebuilding once a loop turn; a query in between would see replicas that had left. Change: a change touches the shards of its own row; equal maps are one object.

--- a/auburnway/core/membership.py
+++ b/auburnway/core/membership.py
@@ -133,6 +133,10 @@
         self._drained: frozenset[str] = frozenset()
         self._replicas: dict[tuple[str, int, int], tuple[Row, ...]] = {}
         self._manifests: dict[str, tuple[snapshot_lib.Manifest, ...]] = {}
+        # Usable holders of a snapshot and the shard map that each named.
+        self._holders: dict[
+            tuple[str, int], dict[str, snapshot_lib.Manifest]
+        ] = {}
 
     def rows(self) -> abc.Collection[Row]:
         """Returns all rows, those that are gone included."""
@@ -245,28 +249,78 @@
         return self._manifests.get(application, ())
 
     def _set(self, row: Row) -> None:
+        # Rows of one snapshot carry equal shard maps; one object serves all,
+        # because at 96 shards the map is most of a row's memory.
+        shared = tuple(
+            self._shared_manifest(row.application, manifest)
+            for manifest in row.manifests
+        )
+        row = dataclasses.replace(row, manifests=shared)
+        present = self._rows.get(row.name)
+        if present is not None and self._usable(present):
+            self._remove_from_index(present)
         self._rows[row.name] = row
-        self._index()
+        if self._usable(row):
+            self._add_to_index(row)
 
     def _index(self) -> None:
-        # Changes are rare and look-ups happen per sub-request, so the
-        # indexes are rebuilt here.
-        replicas: dict[tuple[str, int, int], list[Row]] = {}
-        manifests: dict[str, dict[int, snapshot_lib.Manifest]] = {}
-        for other in self._rows.values():
-            if not self._usable(other):
-                continue
-            for holding in other.holdings:
-                key = (other.application, holding.snapshot, holding.shard)
-                replicas.setdefault(key, []).append(other)
-            for manifest in other.manifests:
-                known = manifests.setdefault(other.application, {})
-                known[manifest.snapshot] = manifest
-        self._replicas = {key: tuple(rows) for key, rows in replicas.items()}
-        self._manifests = {
-            application: tuple(known.values())
-            for application, known in manifests.items()
-        }
+        self._replicas.clear()
+        self._manifests.clear()
+        self._holders.clear()
+        for row in self._rows.values():
+            if self._usable(row):
+                self._add_to_index(row)
+
+    def _add_to_index(self, row: Row) -> None:
+        # Look-ups happen per sub-request, so the indexes hold tuples. One
+        # change touches only its own shards: building all anew cost 5.9 ms
+        # at 4,300 rows, and the square of that to fill the table.
+        for holding in row.holdings:
+            key = (row.application, holding.snapshot, holding.shard)
+            self._replicas[key] = (*self._replicas.get(key, ()), row)
+        for manifest in row.manifests:
+            holders = self._holders.setdefault(
+                (row.application, manifest.snapshot), {}
+            )
+            holders[row.name] = manifest
+            self._choose_manifest(row.application, manifest.snapshot)
+
+    def _remove_from_index(self, row: Row) -> None:
+        for holding in row.holdings:
+            key = (row.application, holding.snapshot, holding.shard)
+            left = tuple(
+                other
+                for other in self._replicas.get(key, ())
+                if other.name != row.name
+            )
+            if left:
+                self._replicas[key] = left
+            else:
+                self._replicas.pop(key, None)
+        for manifest in row.manifests:
+            holders = self._holders[(row.application, manifest.snapshot)]
+            holders.pop(row.name, None)
+            self._choose_manifest(row.application, manifest.snapshot)
+
+    def _choose_manifest(self, application: str, snapshot: int) -> None:
+        """Keeps the shard map that the first holder of a snapshot named."""
+        known = self._manifests.get(application, ())
+        holders = self._holders[(application, snapshot)]
+        chosen = next(iter(holders.values()), None)
+        if chosen is not None and chosen in known:
+            return
+        others = tuple(m for m in known if m.snapshot != snapshot)
+        self._manifests[application] = (
+            others if chosen is None else (*others, chosen)
+        )
+
+    def _shared_manifest(
+        self, application: str, manifest: snapshot_lib.Manifest
+    ) -> snapshot_lib.Manifest:
+        for known in self._manifests.get(application, ()):
+            if known == manifest:
+                return known
+        return manifest
 
     def _usable(self, row: Row) -> bool:
         return (
