Stop hedges and retries only in a real overload

Cause: the budget earned nothing while any request waited. Ruled out: earning less instead of nothing in overload; floods must stay near zero. Change: overload is more than 4 waiting requests for each running one.

--- a/auburnway/entry/admitter.py
+++ b/auburnway/entry/admitter.py
@@ -18,6 +18,8 @@
 
 POLL_PERIOD_MS = 20.0
 LIMIT_PERIOD_MS = 100.0
+# Waiting requests for each running one from which hedges and retries stop.
+OVERLOAD_RATIO = 4
 
 
 class Admitter:
@@ -104,9 +106,18 @@
         """Returns waiting and in-flight requests by application and rank."""
         return {name: q.demand() for name, q in self._queues.items()}
 
-    def waiting_count(self) -> int:
-        """Returns how many requests wait."""
-        return len(self._waiting)
+    def is_overloaded(self) -> bool:
+        """Whether far more requests wait than run.
+
+        Some wait now and then at 42% load already, and a straggler makes
+        them wait; hedges and retries are what helps then.
+        """
+        running = sum(
+            in_flight
+            for ranks in self.demand().values()
+            for _, in_flight in ranks.values()
+        )
+        return len(self._waiting) > OVERLOAD_RATIO * running
 
     def _caller_shares(self) -> dict[str, float]:
         return {c.name: c.share for c in self._configuration.callers}
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -385,7 +385,7 @@
                 for application, ranks in self._demand_items()
             },
         )
-        self._backends.budget.set_overloaded(self._admitter.waiting_count() > 0)
+        self._backends.budget.set_overloaded(self._admitter.is_overloaded())
 
     def _demand_items(self):
         for application, ranks in self._admitter.demand().items():
