--- a/auburnway/control/main.py
+++ b/auburnway/control/main.py
@@ -13,7 +13,9 @@
 
 from auburnway.control import entries as entries_lib
 from auburnway.control import node as node_lib
+from auburnway.control import note_machine
 from auburnway.control import operations as operations_lib
+from auburnway.control import peer_link
 from auburnway.control import service
 from auburnway.control import store as store_lib
 from auburnway.core import clock as clock_lib
@@ -224,7 +226,15 @@
     joiner = _Joiner(settings, identity, token)
     loop.stack.callback(joiner.close)
     node = node_lib.Node(
-        identity, settings.address, store, loop, token, joiner.ask
+        identity,
+        settings.address,
+        store,
+        loop,
+        lambda address, post: peer_link.PeerLink(
+            address, settings.address, token, post
+        ),
+        note_machine.NoteMachine(),
+        joiner.ask,
     )
     node.register(loop.root)
     entries = entries_lib.Entries(
--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -9,19 +9,17 @@
 from collections import abc
 from concurrent import futures
 import random
+import typing
 
 import circuits
 from circuits import core
 import loguru
 from returns import result
 
-from auburnway.control import peer_link
 from auburnway.control import store as store_lib
 from auburnway.core import errors
 from auburnway.core import raft as raft_lib
 from auburnway.core import raft_records as records
-from auburnway.core import replicated_state as state_lib
-from auburnway.core import state_codec
 from auburnway.kernel import process
 from auburnway.rpc import control_errors
 from auburnway.storage import disk as disk_lib
@@ -35,6 +33,44 @@
 SNAPSHOT_ENTRIES = 1000
 
 OnReply = abc.Callable[[result.Result], None]
+Post = abc.Callable[[abc.Callable[[], None]], None]
+
+
+class StateMachine(typing.Protocol):
+    """What the log's commands act on.
+
+    Attributes:
+      empty: State before the first command.
+    """
+
+    empty: typing.Any
+
+    def encode_command(self, command: typing.Any) -> bytes:
+        """Returns the log form of a command."""
+
+    def apply(
+        self, state: typing.Any, index: int, data: bytes
+    ) -> tuple[typing.Any, typing.Any]:
+        """Applies a command in its log form; returns state and reply."""
+
+    def encode(self, state: typing.Any) -> bytes:
+        """Returns the snapshot form of a state."""
+
+    def decode(self, data: bytes) -> typing.Any:
+        """Returns the state of its snapshot form."""
+
+
+class Link(typing.Protocol):
+    """Carries messages to one other instance; it may drop them."""
+
+    def send(self, message: records.Message) -> None:
+        """Sends a message without waiting."""
+
+    def close(self) -> None:
+        """Ends the link."""
+
+
+Connect = abc.Callable[[str, Post], Link]
 
 
 class wake(circuits.Event):  # noqa: N801 (circuits names events in lower case)
@@ -49,7 +85,10 @@
       address: `ip:port` at which this instance is reached.
       store: Open data folder.
       loop: Loop that runs this component.
-      token: Fleet token, sent to other instances.
+      connect: Returns a link to the address of another instance; a function
+        that runs calls on the loop is passed to it.
+      machine: State machine that the log drives.
+      raft_config: Periods of the Raft rules; the default ones when None.
       join: Asks another instance to let this one join; called on the loop.
 
     Attributes:
@@ -67,8 +106,10 @@
         address: str,
         store: store_lib.Store,
         loop: process.Loop,
-        token: str,
+        connect: Connect,
+        machine: StateMachine,
         join: abc.Callable[[], None],
+        raft_config: records.Config | None = None,
     ):
         super().__init__()
         self.identity = identity
@@ -78,10 +119,11 @@
         self.on_role: abc.Callable[[], None] = lambda: None
         self._store = store
         self._loop = loop
-        self._token = token
+        self._connect = connect
+        self._machine = machine
         self._join = join
         self.raft = raft_lib.Raft(
-            records.Config(identity.incarnation),
+            raft_config or records.Config(identity.incarnation),
             store.hard_state,
             store.log,
             loop.clock,
@@ -105,7 +147,7 @@
         self._compaction: tuple[int, bytes, futures.Future] | None = None
         self._executor = futures.ThreadPoolExecutor(1, "snapshot")
         loop.stack.callback(self._executor.shutdown)
-        self._links: dict[str, peer_link.PeerLink] = {}
+        self._links: dict[str, Link] = {}
         self._addresses: dict[str, str] = {}
         loop.timers.every(TICK_MS, self._tick)
         loop.timers.every(JOIN_PERIOD_MS, self._join_if_needed)
@@ -148,11 +190,11 @@
         """Proposes a command; on the loop only.
 
         Args:
-          command: Command of `core.replicated_state`.
+          command: Command of the state machine.
           on_reply: Called with the command's reply once it is applied, with
             `NotExecuted`, or with `OutcomeUncertain`.
         """
-        data = state_lib.encode_command(command)
+        data = self._machine.encode_command(command)
         self._proposals.append((data, on_reply))
 
     def read(self, on_ready: OnReply, at_once: bool = True) -> None:
@@ -310,9 +352,8 @@
         self.applied_index = entry.index
         reply = None
         if entry.kind is records.Kind.COMMAND:
-            command = state_lib.decode_command(entry.data)
-            self.state, reply = state_lib.apply(
-                self.state, entry.index, command
+            self.state, reply = self._machine.apply(
+                self.state, entry.index, entry.data
             )
         elif entry.kind is records.Kind.VOTERS:
             self._log_members(records.decode_members(entry.data))
@@ -332,9 +373,9 @@
         ).info("member set is committed")
 
     def _restore(self, snapshot: records.Snapshot) -> None:
-        self.state = state_lib.EMPTY_STATE
+        self.state = self._machine.empty
         if snapshot.data:
-            self.state = state_codec.decode(snapshot.data)
+            self.state = self._machine.decode(snapshot.data)
         self.applied_index = snapshot.index
 
     def _follow_role(self) -> None:
@@ -361,7 +402,7 @@
         covered = index - self._store.log.snapshot.index
         if covered < SNAPSHOT_ENTRIES or self._compaction is not None:
             return
-        data = state_codec.encode(self.state)
+        data = self._machine.encode(self.state)
         job = self._store.begin_compaction(index, data, self._executor)
         self._compaction = (index, data, job)
         job.add_done_callback(lambda _: self.post(lambda: None))
@@ -391,9 +432,7 @@
             return
         link = self._links.get(address)
         if link is None:
-            link = peer_link.PeerLink(
-                address, self.address, self._token, self.post
-            )
+            link = self._connect(address, self.post)
             self._links[address] = link
         link.send(message)
 
--- a/auburnway/control/operations_test.py
+++ b/auburnway/control/operations_test.py
@@ -4,6 +4,7 @@
 
 from auburnway.control import entries as entries_lib
 from auburnway.control import node as node_lib
+from auburnway.control import note_machine
 from auburnway.control import operations as operations_lib
 from auburnway.control import store as store_lib
 from auburnway.core import clock as clock_lib
@@ -31,7 +32,8 @@
             ADDRESS,
             store_lib.Store(self.disk),
             self.loop,
-            "token",
+            lambda address, post: None,
+            note_machine.NoteMachine(),
             lambda: None,
         )
         self.entries = entries_lib.Entries(
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -100,7 +100,10 @@
         not know it and sends it nothing.
         """
         is_learner = self.role is records.Role.LEARNER
-        return is_learner and not self.hears_leader()
+        if self.config.remove_silent_ms is None:
+            return is_learner and not self.hears_leader()
+        # A removed voter is not told, and goes on as a candidate.
+        return self._leading is None and not self.hears_leader()
 
     def step(self, message: records.Message) -> records.Output:
         """Handles a received message; one for another target is ignored."""
--- a/auburnway/core/raft_leader.py
+++ b/auburnway/core/raft_leader.py
@@ -345,6 +345,31 @@
                 # Two processes use one name; the one that answers stays.
                 continue
             return tuple(m for m in members if m is not old[0])
+        return self._without_silent_voter(members)
+
+    def _without_silent_voter(
+        self, members: records.Members
+    ) -> records.Members | None:
+        """Returns the members less one that is gone for good, or None.
+
+        A machine that was replaced at another address has a successor with
+        another name. While its old member counts, one further loss would
+        leave no majority.
+        """
+        after_ms = self._node.config.remove_silent_ms
+        if after_ms is None:
+            return None
+        now_ms = self._clock.now_ms()
+        silent = [
+            m
+            for m in members
+            if m.incarnation != self._me
+            and now_ms - self._progress[m.incarnation].heard_ms > after_ms
+        ]
+        heard = [m for m in members if m.voter and m not in silent]
+        for member in silent:
+            if not member.voter or len(heard) >= self._node.config.least_voters:
+                return tuple(m for m in members if m is not member)
         return None
 
     def _is_silent(self, incarnation: str) -> bool:
--- a/auburnway/core/raft_records.py
+++ b/auburnway/core/raft_records.py
@@ -252,9 +252,15 @@
       election_min_ms: Least time without a leader before an election. A node
         that heard its leader within it ignores other candidates.
       election_max_ms: Greatest such time.
+      remove_silent_ms: The leader removes a voter that it has not heard for
+        this long; None never does. The removed node joins again when it is
+        back.
+      least_voters: Voters that must be left, all of them heard.
     """
 
     incarnation: str
     heartbeat_ms: float = HEARTBEAT_MS
     election_min_ms: float = ELECTION_MIN_MS
     election_max_ms: float = ELECTION_MAX_MS
+    remove_silent_ms: float | None = None
+    least_voters: int = 3
--- /dev/null
+++ b/auburnway/core/route_table.py
@@ -0,0 +1,199 @@
+"""Whole configurations of the pass-through tier: routes over services.
+
+An operator replaces the whole configuration at once. It is checked whole
+before it is accepted; `check` returns everything that is wrong with it.
+"""
+
+import collections
+import dataclasses
+
+from auburnway.core import errors
+
+# Greatest number of records that a gather route may return.
+MAX_TOP_RECORDS = 100_000
+
+
+class BadConfiguration(errors.Error):
+    """A configuration contradicts itself or cannot be read."""
+
+    code = "bad_configuration"
+    remedy = "Correct the configuration and send it again."
+    http_status = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A named set of backend servers.
+
+    Attributes:
+      name: Name that backend servers register under.
+      health_path: Path that answers whether a server is healthy.
+      connection_limit: Connections that one server accepts from all callers.
+    """
+
+    name: str
+    health_path: str
+    connection_limit: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """A share of a route's traffic.
+
+    Attributes:
+      service: Service that gets it.
+      weight: Its weight among the parts of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Gather:
+    """A query over shards whose records are merged.
+
+    Attributes:
+      shards: Services, one a shard.
+      top_records: Number of greatest records that the answer holds.
+      min_coverage: Least share of the shards that makes an answer.
+    """
+
+    shards: tuple[str, ...]
+    top_records: int
+    min_coverage: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """What to do with the requests of a host and path prefix.
+
+    Attributes:
+      name: Name of the route.
+      host: Host that selects it, lower case.
+      prefix: Path prefix that selects it; begins and ends with a slash.
+      is_repeatable: Whether a request may run more than once.
+      timeout_ms: Longest time that a request is kept waiting.
+      target_ms: Latency objective.
+      rank: Urgency; 0 is the most urgent.
+      max_attempts: Backend servers, of each shard, that may run a request.
+      parts: Services with weights; empty for a gather route.
+      gather: Set for a query over shards.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    is_repeatable: bool
+    timeout_ms: float
+    target_ms: float
+    rank: int
+    max_attempts: int
+    parts: tuple[Part, ...] = ()
+    gather: Gather | None = None
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of all services that the route uses."""
+        if self.gather is not None:
+            return self.gather.shards
+        return tuple(part.service for part in self.parts)
+
+
+@dataclasses.dataclass(frozen=True)
+class ClientLimits:
+    """What a client may send, and how long it may take or stay idle."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """All routes and services of one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: ClientLimits
+
+
+def check(configuration: Configuration) -> tuple[errors.Error, ...]:
+    """Returns everything that is wrong with a configuration."""
+    found: list[str] = []
+    known = {service.name for service in configuration.services}
+    places = collections.Counter(
+        (route.host, route.prefix) for route in configuration.routes
+    )
+    for (host, prefix), count in places.items():
+        if count > 1:
+            found.append(f"{count} routes share {host}{prefix}")
+    if len(known) < len(configuration.services):
+        found.append("two services share a name")
+    for route in configuration.routes:
+        found.extend(_route_problems(route, known))
+    return tuple(BadConfiguration(detail) for detail in found)
+
+
+def _route_problems(route: Route, known: set[str]) -> list[str]:
+    found = [
+        f"route {route.name} names the unknown service {service}"
+        for service in route.services
+        if service not in known
+    ]
+    if not route.services:
+        found.append(f"route {route.name} names no service")
+    if route.timeout_ms <= 0:
+        found.append(f"route {route.name} has no time-out")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        found.append(f"route {route.name}: prefix lacks a slash at an end")
+    if route.max_attempts < 1:
+        found.append(f"route {route.name} allows no attempt")
+    weights = [part.weight for part in route.parts]
+    if route.parts and (sum(weights) <= 0 or min(weights) < 0):
+        found.append(f"route {route.name}: weights do not add up")
+    gather = route.gather
+    if gather is not None:
+        if len(set(gather.shards)) < len(gather.shards):
+            found.append(f"route {route.name} names a shard twice")
+        if not 0 <= gather.min_coverage <= 1:
+            found.append(f"route {route.name}: coverage is not within 0 to 1")
+        if not 0 < gather.top_records <= MAX_TOP_RECORDS:
+            found.append(f"route {route.name}: bad number of records")
+        if not route.is_repeatable:
+            found.append(f"route {route.name} gathers what may run once only")
+    return found
+
+
+class Matcher:
+    """Finds the route of a request.
+
+    Args:
+      configuration: Configuration whose routes are matched.
+    """
+
+    def __init__(self, configuration: Configuration):
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix, or None.
+
+        Args:
+          host: Value of the Host header.
+          path: Path without the query.
+        """
+        prefixes = self._by_host.get(host.lower())
+        if prefixes is None:
+            prefixes = self._by_host.get(host.lower().partition(":")[0])
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- a/auburnway/faults/matrix_nodes.py
+++ b/auburnway/faults/matrix_nodes.py
@@ -6,6 +6,7 @@
 
 from auburnway.control import entries as entries_lib
 from auburnway.control import node as control_node
+from auburnway.control import note_machine
 from auburnway.control import operations as operations_lib
 from auburnway.control import store as store_lib
 from auburnway.core import membership
@@ -86,7 +87,8 @@
             self.address,
             store_lib.Store(self.disk),
             self,
-            fleet.TOKEN,
+            lambda address, post: None,
+            note_machine.NoteMachine(),
             self._join,
         )
         self.node._links = {
--- /dev/null
+++ b/auburnway/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entry process of the pass-through tier: HTTP requests over many shards."""
--- /dev/null
+++ b/auburnway/gateway/node.py
@@ -0,0 +1,227 @@
+"""An entry of the pass-through tier: wires its parts together."""
+
+import loguru
+
+from auburnway.core import route_table
+from auburnway.gateway import dialect as dialect_lib
+from auburnway.gateway import dispatcher as dispatcher_lib
+from auburnway.gateway import feed as feed_lib
+from auburnway.gateway import job as job_lib
+from auburnway.gateway import settings as settings_lib
+from auburnway.kernel import process
+from auburnway.net import socket_set
+from auburnway.net import web_server
+
+# Deadline of a request that states none is its route's time-out.
+MAX_DEADLINE_MS = 3_600_000.0
+# From SIGTERM on: when new requests are refused, as they might not end in
+# time, and when the process ends whatever is left; parts of the grace time.
+REFUSE_SHARE = 0.45
+END_SHARE = 0.95
+DRAIN_CHECK_MS = 100.0
+
+
+class Node:
+    """One entry.
+
+    Args:
+      settings: Settings.
+      dialect: Names and formats of the surroundings.
+      loop: Loop that runs the entry.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        dialect: dialect_lib.Dialect,
+        loop: process.Loop,
+    ):
+        self._settings = settings
+        self._dialect = dialect
+        self._loop = loop
+        self._clock = loop.clock
+        self._matcher: route_table.Matcher | None = None
+        self._splits: dict[str, list[float]] = {}
+        self._stopping_ms: float | None = None
+        self.sockets = socket_set.SocketSet(loop.poller).register(loop.root)
+        loop.stack.callback(self.sockets.close)
+        self.feed = feed_lib.Feed(
+            settings, dialect, loop, self.sockets, self._configure
+        )
+        self.dispatcher = dispatcher_lib.Dispatcher(
+            settings, dialect, loop, self.sockets, self.feed
+        )
+        self.front = web_server.WebServer(
+            settings.client_address,
+            self.sockets,
+            loop.timers,
+            loop.clock,
+            self._on_request,
+        )
+        loop.stack.callback(self.front.close)
+        self._removed_own = {
+            *job_lib.HOP_HEADERS,
+            b"content-length",
+            b"expect",
+            dialect.time_left.lower(),
+            dialect.wanted_server.lower(),
+        }
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return self._matcher is not None and self._stopping_ms is None
+
+    def addresses(self, data_center: str) -> tuple[str, ...]:
+        """Returns entries for a client, those of its data centre if enough.
+
+        Args:
+          data_center: Data centre of the client.
+        """
+        entries = self.feed.entries()
+        near = [a for a, place in entries if place == data_center]
+        chosen = near if len(near) >= 2 else [a for a, _ in entries]
+        if not chosen and self.is_ready:
+            chosen = [self._settings.client_address]
+        return tuple(chosen)
+
+    def stop(self) -> None:
+        """Begins a graceful end: finishes the work and refuses new one."""
+        self._stopping_ms = self._clock.now_ms()
+        loguru.logger.info("stopping")
+        self.feed.announce(False)
+        self.feed.forget_entry(self._settings.client_address)
+        self.front.closes_after_reply = True
+        self._loop.timers.every(DRAIN_CHECK_MS, self._check_drain)
+
+    def _check_drain(self) -> None:
+        grace_ms = self._settings.grace_ms
+        since_ms = self._clock.now_ms() - self._stopping_ms
+        kept_ms = 3 * self._settings.address_ttl_ms
+        is_idle = not self.front.connections
+        if since_ms > kept_ms and is_idle or since_ms > END_SHARE * grace_ms:
+            loguru.logger.bind(open=self.front.busy_count).info("stopped")
+            self._loop.stop()
+
+    def _configure(self, configuration: route_table.Configuration) -> None:
+        self._matcher = route_table.Matcher(configuration)
+        limits = configuration.limits
+        self.front.limits = web_server.Limits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+        self.dispatcher.configure(configuration)
+        self._splits = {}
+        if self.is_ready:
+            self.feed.announce(True)
+
+    # Requests.
+
+    def _on_request(self, request: web_server.Request) -> None:
+        refused = self._refuse_early(request)
+        if refused is not None:
+            self._answer(request, None, refused)
+            return
+        host = request.fields[b"host"].decode("latin-1")
+        route = self._matcher.match(host, request.path.decode("latin-1"))
+        if route is None:
+            self._answer(request, None, job_lib.refusal(404, "no_route"))
+            return
+        job = self._job(request, route)
+
+        def on_answer(answer: job_lib.Answer):
+            self._answer(request, job, answer)
+
+        if route.gather is not None:
+            target_ms = job.started_ms + route.target_ms
+            target_ms -= self._settings.client_delay_ms
+            work = job_lib.Gathered(
+                self.dispatcher, self._dialect, job, target_ms, on_answer
+            )
+        else:
+            service = self._choose_part(route)
+            work = job_lib.Single(self.dispatcher, job, service, on_answer)
+        request.on_gone = work.cancel
+        work.start()
+
+    def _refuse_early(
+        self, request: web_server.Request
+    ) -> job_lib.Answer | None:
+        if self._matcher is None:
+            return job_lib.refusal(503, "no_configuration", 200.0)
+        if self._stopping_ms is not None:
+            since_ms = self._clock.now_ms() - self._stopping_ms
+            if since_ms > REFUSE_SHARE * self._settings.grace_ms:
+                return job_lib.refusal(503, "stopping", 1.0)
+        hosts = [n for n, _ in request.headers if n.lower() == b"host"]
+        if len(hosts) != 1:
+            return job_lib.refusal(400, "bad_host")
+        if not request.target.startswith(b"/"):
+            return job_lib.refusal(400, "bad_target")
+        if self._dialect.request_id.lower() not in request.fields:
+            return job_lib.refusal(400, "no_request_id")
+        return None
+
+    def _job(
+        self, request: web_server.Request, route: route_table.Route
+    ) -> dispatcher_lib.Job:
+        stated = request.fields.get(self._dialect.time_left.lower(), b"")
+        left_ms = float(stated) if stated.isdigit() else MAX_DEADLINE_MS
+        left_ms = min(left_ms, route.timeout_ms)
+        return dispatcher_lib.Job(
+            request.fields[self._dialect.request_id.lower()],
+            route,
+            self._head(request),
+            request.body,
+            request.method == b"HEAD",
+            request.received_ms,
+            request.received_ms + left_ms,
+        )
+
+    def _head(self, request: web_server.Request) -> bytes:
+        named = request.fields.get(b"connection", b"").lower().split(b",")
+        removed = self._removed_own.union(name.strip() for name in named)
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+        lines.extend(
+            b"%s: %s" % (name, value)
+            for name, value in request.headers
+            if name.lower() not in removed
+        )
+        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n"
+
+    def _choose_part(self, route: route_table.Route) -> str:
+        """Returns the service that is furthest behind its weight."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        credits = self._splits.setdefault(route.name, [0.0] * len(route.parts))
+        total = sum(part.weight for part in route.parts)
+        for i, part in enumerate(route.parts):
+            credits[i] += part.weight / total
+        best = max(range(len(credits)), key=credits.__getitem__)
+        credits[best] -= 1.0
+        return route.parts[best].service
+
+    def _answer(
+        self,
+        request: web_server.Request,
+        job: dispatcher_lib.Job | None,
+        answer: job_lib.Answer,
+    ) -> None:
+        request.reply(answer.status, answer.headers, answer.body)
+        if answer.reason == "ok":
+            return
+        took_ms = self._clock.now_ms() - request.received_ms
+        request_id = request.fields.get(self._dialect.request_id.lower(), b"")
+        loguru.logger.bind(
+            request=request_id.decode("latin-1"),
+            route=job.route.name if job is not None else "",
+            status=answer.status,
+            reason=answer.reason,
+            coverage=round(answer.coverage, 3),
+            took_ms=round(took_ms, 1),
+            revision=self.feed.revision,
+        ).info("request was not answered in full")
--- /dev/null
+++ b/auburnway/gateway/settings.py
@@ -0,0 +1,73 @@
+"""Settings of an entry of the pass-through tier."""
+
+import dataclasses
+
+from auburnway.kernel import settings as settings_lib
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Settings of an entry."""
+
+    name: str = settings_lib.setting("Unique name of the machine.")
+    ip: str = settings_lib.setting("Address of the machine.")
+    data_center: str = settings_lib.setting("Data centre of this instance.")
+    client_address: str = settings_lib.setting("Address for clients, ip:port.")
+    ready_address: str = settings_lib.setting(
+        "Address that answers whether this entry is ready, ip:port."
+    )
+    directory_address: str = settings_lib.setting(
+        "Address that tells clients which entries to use, ip:port; empty for"
+        " none.",
+        "",
+    )
+    internal_port: int = settings_lib.setting(
+        "Port of control instances for entries.", low=1, high=65535
+    )
+    seeds: tuple[str, ...] = settings_lib.setting(
+        "Public addresses of control instances, ip:port."
+    )
+    retry_share: float = settings_lib.setting(
+        "Extra sends of all entries to a service per request for it.",
+        0.2,
+        low=0,
+        high=1,
+    )
+    retry_slack: float = settings_lib.setting(
+        "Extra sends of all entries to a service in one window, beyond"
+        " retry_share.",
+        20.0,
+        low=0,
+    )
+    grace_ms: float = settings_lib.setting(
+        "Time from SIGTERM to the end of the process, in ms.",
+        6_000.0,
+        low=100,
+    )
+    address_ttl_ms: float = settings_lib.setting(
+        "How long clients may keep an answer of the directory, in ms.",
+        1_000.0,
+        low=100,
+    )
+    client_delay_ms: float = settings_lib.setting(
+        "Time that an answer spends between client and entry, to be kept free"
+        " of a route's latency objective, in ms; two round trips, as a client"
+        " may have to connect.",
+        12.0,
+        low=0,
+    )
+    connect_timeout_ms: float = settings_lib.setting(
+        "A connection to a backend server that takes longer is given up, in"
+        " ms.",
+        200.0,
+        low=1,
+    )
+    other_data_center_ms: float = settings_lib.setting(
+        "Expected time that is added for a server in another data centre, in"
+        " ms: a round trip and the price of the bytes.",
+        5.0,
+        low=0,
+    )
+    metrics_address: str = settings_lib.setting(
+        "Address that serves metrics, ip:port; empty for none.", ""
+    )
--- a/auburnway/kernel/process.py
+++ b/auburnway/kernel/process.py
@@ -71,6 +71,7 @@
       poller: Poller that components add their sockets to.
       timers: Timer queue.
       on_stop: Called on the first SIGTERM or SIGINT; `stop` by default.
+      on_reload: Called on SIGHUP; does nothing by default.
     """
 
     def __init__(self, clock: clock_lib.Clock):
@@ -80,10 +81,16 @@
         self.poller = pollers.EPoll().register(self.root)
         self.timers = timers_lib.TimerQueue(clock).register(self.root)
         self.on_stop: abc.Callable[[], None] = self.stop
+        self.on_reload: abc.Callable[[], None] = lambda: None
 
     def run(self) -> None:
         """Runs until `stop`; SIGTERM and SIGINT call `on_stop` once."""
         self.root.loop = self
+        # The default action of SIGHUP would end the process.
+        signal.signal(
+            signal.SIGHUP,
+            lambda *_: self.timers.after(0.0, lambda: self.on_reload()),
+        )
         with self.stack:
             self.root.run()
 
--- /dev/null
+++ b/auburnway/net/socket_set.py
@@ -0,0 +1,72 @@
+"""Many sockets behind one descriptor of the circuits poller.
+
+One circuits event is fired when any socket of the set is ready; the callbacks
+of all ready sockets run inside it. An event for each socket would cost more
+than the work of most callbacks.
+"""
+
+from collections import abc
+import select
+import socket
+
+import circuits
+from circuits import core
+import loguru
+
+READ = select.EPOLLIN | select.EPOLLRDHUP
+WRITE = select.EPOLLOUT
+
+OnReady = abc.Callable[[int], None]
+
+
+class SocketSet(circuits.BaseComponent):
+    """Calls back when a socket is ready.
+
+    Args:
+      poller: circuits poller that watches the set.
+      name: Channel; sets on one loop need different ones.
+    """
+
+    def __init__(self, poller, name: str = "sockets"):
+        super().__init__(channel=name)
+        self._epoll = select.epoll()
+        self._poller = poller
+        self._callbacks: dict[int, OnReady] = {}
+        poller.addReader(self, self._epoll)
+
+    def add(self, sock: socket.socket, mask: int, on_ready: OnReady) -> None:
+        """Watches a socket.
+
+        Args:
+          sock: Non-blocking socket.
+          mask: `READ`, `WRITE` or both.
+          on_ready: Called with the epoll mask that is ready.
+        """
+        self._callbacks[sock.fileno()] = on_ready
+        self._epoll.register(sock, mask)
+
+    def change(self, sock: socket.socket, mask: int) -> None:
+        """Changes what is watched."""
+        self._epoll.modify(sock, mask)
+
+    def remove(self, sock: socket.socket) -> None:
+        """Stops to watch a socket that is about to be closed."""
+        if self._callbacks.pop(sock.fileno(), None) is not None:
+            self._epoll.unregister(sock)
+
+    def close(self) -> None:
+        """Ends the set; the sockets stay open."""
+        self._poller.discard(self._epoll)
+        self._epoll.close()
+
+    @core.handler("_read")
+    def _on_read(self, _):
+        for descriptor, mask in self._epoll.poll(0):
+            # An earlier callback of this batch may have closed the socket.
+            on_ready = self._callbacks.get(descriptor)
+            if on_ready is None:
+                continue
+            try:
+                on_ready(mask)
+            except Exception:
+                loguru.logger.exception("unexpected exception on a socket")
--- /dev/null
+++ b/auburnway/net/stream.py
@@ -0,0 +1,370 @@
+"""Length-prefixed msgpack messages over TCP between own processes.
+
+A `Stream` is one established connection. A `Dialer` keeps one to an address
+and dials again when it is lost; a `Listener` accepts them. Both ends send a
+heartbeat, because a connection can go silent for good without a reset.
+"""
+
+from collections import abc
+import errno
+import socket
+import struct
+import typing
+
+import loguru
+import msgpack
+
+from auburnway.core import clock as clock_lib
+from auburnway.kernel import timers as timers_lib
+from auburnway.net import socket_set
+
+RECEIVE_BYTES = 1 << 18
+# A configuration of thousands of routes stays far below this.
+MAX_MESSAGE_BYTES = 1 << 25
+# A peer that does not read is dropped rather than buffered without bound.
+MAX_UNSENT_BYTES = 1 << 25
+HEARTBEAT_MS = 400.0
+# Five heartbeats; a stream that is silent for longer is closed.
+SILENCE_MS = 2000.0
+CONNECT_TIMEOUT_MS = 800.0
+REDIAL_MS = 300.0
+BACKLOG = 128
+
+_LENGTH = struct.Struct(">I")
+_HEARTBEAT = _LENGTH.pack(0)
+
+
+class Stream:
+    """One connection that carries messages.
+
+    Attributes:
+      peer_ip: Address of the other end.
+      context: Whatever the owner keeps with the stream.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        sockets: socket_set.SocketSet,
+        clock: clock_lib.Clock,
+        on_message: abc.Callable[["Stream", typing.Any], None],
+        on_close: abc.Callable[["Stream"], None],
+    ):
+        self.peer_ip = sock.getpeername()[0]
+        self.context: typing.Any = None
+        self.is_open = True
+        self.heard_ms = clock.now_ms()
+        self._sock = sock
+        self._sockets = sockets
+        self._clock = clock
+        self._on_message = on_message
+        self._on_close = on_close
+        self._received = bytearray()
+        self._unsent = bytearray()
+        sockets.add(sock, socket_set.READ, self._on_ready)
+
+    def send(self, message: typing.Any) -> None:
+        """Sends a value that msgpack can encode; without effect when closed."""
+        self.send_packed(pack(message))
+
+    def send_packed(self, frame: bytes) -> None:
+        """Sends a frame that `pack` made, which many streams may share."""
+        if not self.is_open:
+            return
+        had_unsent = bool(self._unsent)
+        self._unsent += frame
+        if len(self._unsent) > MAX_UNSENT_BYTES:
+            loguru.logger.bind(peer=self.peer_ip).warning(
+                "closed a stream whose peer does not read"
+            )
+            self.close()
+        elif not had_unsent:
+            self._write()
+
+    def keep_alive(self) -> None:
+        """Sends a heartbeat, or closes a stream that has gone silent."""
+        if self._clock.now_ms() - self.heard_ms > SILENCE_MS:
+            self.close()
+        elif not self._unsent:
+            self.send_packed(_HEARTBEAT)
+
+    def close(self) -> None:
+        """Closes the connection and tells the owner once."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._sockets.remove(self._sock)
+        self._sock.close()
+        self._on_close(self)
+
+    def _on_ready(self, mask: int) -> None:
+        if mask & socket_set.WRITE:
+            self._write()
+        if self.is_open and mask & ~socket_set.WRITE:
+            self._read()
+
+    def _write(self) -> None:
+        try:
+            count = self._sock.send(self._unsent)
+        except BlockingIOError:
+            count = 0
+        except OSError:
+            self.close()
+            return
+        del self._unsent[:count]
+        mask = socket_set.READ | (socket_set.WRITE if self._unsent else 0)
+        self._sockets.change(self._sock, mask)
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.close()
+            return
+        self.heard_ms = self._clock.now_ms()
+        self._received += data
+        self._take_messages()
+
+    def _take_messages(self) -> None:
+        offset = 0
+        while len(self._received) - offset >= _LENGTH.size and self.is_open:
+            (size,) = _LENGTH.unpack_from(self._received, offset)
+            end = offset + _LENGTH.size + size
+            if size > MAX_MESSAGE_BYTES:
+                self.close()
+                return
+            if end > len(self._received):
+                break
+            if size:
+                body = bytes(self._received[offset + _LENGTH.size : end])
+                self._deliver(body)
+            offset = end
+        del self._received[:offset]
+
+    def _deliver(self, body: bytes) -> None:
+        try:
+            message = msgpack.unpackb(body, use_list=False)
+        except ValueError:
+            loguru.logger.bind(peer=self.peer_ip).warning(
+                "closed a stream that sent an unreadable message"
+            )
+            self.close()
+            return
+        self._on_message(self, message)
+
+
+def pack(message: typing.Any) -> bytes:
+    """Returns the frame of a message."""
+    body = msgpack.packb(message)
+    return _LENGTH.pack(len(body)) + body
+
+
+def _configure(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_MS)
+    )
+
+
+class Dialer:
+    """Keeps one stream to an address until it is closed.
+
+    Args:
+      address: `ip:port`.
+      sockets: Set that watches the socket.
+      timers: Timer queue of the loop.
+      clock: Source of time.
+      on_open: Called with each new stream.
+      on_message: Called with stream and message.
+      on_close: Called when an established stream was lost.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        sockets: socket_set.SocketSet,
+        timers: timers_lib.TimerQueue,
+        clock: clock_lib.Clock,
+        on_open: abc.Callable[[Stream], None],
+        on_message: abc.Callable[[Stream, typing.Any], None],
+        on_close: abc.Callable[[Stream], None] = lambda stream: None,
+    ):
+        self.address = address
+        self.stream: Stream | None = None
+        self._sockets = sockets
+        self._timers = timers
+        self._clock = clock
+        self._on_open = on_open
+        self._on_message = on_message
+        self._on_close = on_close
+        self._connecting: socket.socket | None = None
+        self._is_closed = False
+        self._give_up: timers_lib.Timer | None = None
+        self._beat = timers.every(HEARTBEAT_MS, self._keep_alive)
+        self._dial()
+
+    def send(self, message: typing.Any) -> None:
+        """Sends a message; it is dropped while no stream is established."""
+        if self.stream is not None:
+            self.stream.send(message)
+
+    def close(self) -> None:
+        """Closes the stream and stops to dial."""
+        self._is_closed = True
+        self._beat.cancel()
+        self._end_attempt()
+        if self.stream is not None:
+            self.stream.close()
+
+    def _keep_alive(self) -> None:
+        if self.stream is not None:
+            self.stream.keep_alive()
+
+    def _dial(self) -> None:
+        if self._is_closed:
+            return
+        host, _, port = self.address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        _configure(sock)
+        failure = sock.connect_ex((host, int(port)))
+        if failure not in (0, errno.EINPROGRESS):
+            sock.close()
+            self._redial()
+            return
+        self._connecting = sock
+        self._sockets.add(sock, socket_set.WRITE, self._on_connect_end)
+        self._give_up = self._timers.after(
+            CONNECT_TIMEOUT_MS, self._on_connect_timeout
+        )
+
+    def _on_connect_timeout(self) -> None:
+        self._end_attempt()
+        self._dial()
+
+    def _end_attempt(self) -> None:
+        if self._give_up is not None:
+            self._give_up.cancel()
+        sock, self._connecting = self._connecting, None
+        if sock is not None:
+            self._sockets.remove(sock)
+            sock.close()
+
+    def _on_connect_end(self, _: int) -> None:
+        sock = self._connecting
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._end_attempt()
+            self._redial()
+            return
+        self._give_up.cancel()
+        self._connecting = None
+        self._sockets.remove(sock)
+        try:
+            self.stream = Stream(
+                sock,
+                self._sockets,
+                self._clock,
+                self._on_message,
+                self._on_lost,
+            )
+        except OSError:
+            sock.close()
+            self._redial()
+            return
+        self._on_open(self.stream)
+
+    def _on_lost(self, stream: Stream) -> None:
+        self.stream = None
+        self._on_close(stream)
+        self._redial()
+
+    def _redial(self) -> None:
+        self._timers.after(REDIAL_MS, self._dial)
+
+
+class Listener:
+    """Accepts streams on an address.
+
+    Raises:
+      OSError: The address is in use or not local.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        sockets: socket_set.SocketSet,
+        timers: timers_lib.TimerQueue,
+        clock: clock_lib.Clock,
+        on_message: abc.Callable[[Stream, typing.Any], None],
+        on_close: abc.Callable[[Stream], None],
+    ):
+        self._sockets = sockets
+        self._clock = clock
+        self._on_message = on_message
+        self._on_close = on_close
+        self.streams: set[Stream] = set()
+        self._sock = listen(address)
+        sockets.add(self._sock, socket_set.READ, self._accept)
+        self._beat = timers.every(HEARTBEAT_MS, self._keep_alive)
+
+    def close(self) -> None:
+        """Closes the listener and all its streams."""
+        self._beat.cancel()
+        self._sockets.remove(self._sock)
+        self._sock.close()
+        for stream in tuple(self.streams):
+            stream.close()
+
+    def _keep_alive(self) -> None:
+        for stream in tuple(self.streams):
+            stream.keep_alive()
+
+    def _accept(self, _: int) -> None:
+        while True:
+            try:
+                sock, _address = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                loguru.logger.warning("accept failed: {}", error)
+                return
+            _configure(sock)
+            try:
+                stream = Stream(
+                    sock,
+                    self._sockets,
+                    self._clock,
+                    self._on_message,
+                    self._on_lost,
+                )
+            except OSError:
+                sock.close()
+                continue
+            self.streams.add(stream)
+
+    def _on_lost(self, stream: Stream) -> None:
+        self.streams.discard(stream)
+        self._on_close(stream)
+
+
+def listen(address: str, backlog: int = BACKLOG) -> socket.socket:
+    """Returns a non-blocking listening socket.
+
+    Raises:
+      OSError: The address is in use or not local.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((host, int(port)))
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/auburnway/platform/main.py
@@ -0,0 +1,114 @@
+"""Entry points of the programs that the platform starts.
+
+The settings file is the product's own, filled in from a template of
+deploy/templates; the platform passes its path in the environment.
+"""
+
+import argparse
+from collections import abc
+import os
+import pathlib
+import sys
+
+import loguru
+
+from auburnway.core import clock as clock_lib
+from auburnway.kernel import logs
+from auburnway.kernel import process
+
+SETTINGS_VARIABLE = "AUBURNWAY_SETTINGS"
+
+
+def main(arguments: abc.Sequence[str] | None = None) -> int:
+    """Runs one program; returns the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="auburnway-platform",
+        description="Programs of auburnway on the users' platform.",
+    )
+    parser.add_argument("program", choices=("entry", "control"))
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f"settings file, TOML; by default ${SETTINGS_VARIABLE}",
+    )
+    parser.add_argument("--log-level", default="INFO", choices=logs.LEVELS)
+    options = parser.parse_args(arguments)
+    if not options.settings:
+        parser.error(f"give --settings or set ${SETTINGS_VARIABLE}")
+    if options.program == "entry":
+        return _run_entry(options)
+    return _run_control(options)
+
+
+def _run_entry(options: argparse.Namespace) -> int:
+    # Each program imports only what it needs, which saves start-up time.
+    from auburnway.gateway import node as node_lib
+    from auburnway.gateway import settings as settings_lib
+    from auburnway.net import web_server
+    from auburnway.platform import calls
+    from auburnway.platform import documents
+
+    settings = process.load_settings(settings_lib.Settings, options.settings)
+    logs.set_up(settings.name, options.log_level)
+    loop = process.Loop(clock_lib.SystemClock())
+    node = node_lib.Node(settings, documents.DIALECT, loop)
+    entry_calls = calls.EntryCalls(node, settings.address_ttl_ms)
+    for address, on_request in (
+        (settings.ready_address, entry_calls.on_readiness),
+        (settings.directory_address, entry_calls.on_directory),
+    ):
+        if address:
+            server = web_server.WebServer(
+                address, node.sockets, loop.timers, loop.clock, on_request
+            )
+            loop.stack.callback(server.close)
+    loop.on_stop = node.stop
+    loguru.logger.bind(address=settings.client_address).info("entry runs")
+    loop.run()
+    return 0
+
+
+def _run_control(options: argparse.Namespace) -> int:
+    from auburnway.net import socket_set
+    from auburnway.net import web_server
+    from auburnway.platform import calls
+    from auburnway.registrar import node as node_lib
+    from auburnway.registrar import settings as settings_lib
+    from auburnway.storage import disk as disk_lib
+
+    settings = process.load_settings(settings_lib.Settings, options.settings)
+    logs.set_up(settings.name, options.log_level)
+    loop = process.Loop(clock_lib.SystemClock())
+    try:
+        folder = pathlib.Path(settings.data_folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        disk = disk_lib.FolderDisk(folder)
+        loop.stack.callback(disk.close)
+        identity, store = node_lib.open_store(settings, disk)
+    except disk_lib.DiskFault as fault:
+        loguru.logger.error(fault.error.message)
+        return fault.error.exit_code
+    sockets = socket_set.SocketSet(loop.poller).register(loop.root)
+    loop.stack.callback(sockets.close)
+    node = node_lib.Node(settings, identity, store, loop, sockets)
+    node.consensus.register(loop.root)
+    port = int(settings.public_address.rpartition(":")[2])
+    server = web_server.WebServer(
+        settings.public_address,
+        sockets,
+        loop.timers,
+        loop.clock,
+        calls.ControlCalls(node, port).on_request,
+        web_server.Limits(body_bytes=settings.body_bytes),
+    )
+    loop.stack.callback(server.close)
+    loop.on_stop = node.consensus.leave
+    loguru.logger.bind(
+        address=settings.public_address, incarnation=identity.incarnation
+    ).info("control instance runs")
+    loop.run()
+    return node.consensus.exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/auburnway/policy/hedging.py
+++ b/auburnway/policy/hedging.py
@@ -30,7 +30,9 @@
     more when the application has too few samples in that time.
     """
 
-    def __init__(self, now_ms: float):
+    def __init__(self, now_ms: float, percent: float, min_samples: int):
+        self._percent = percent
+        self._min_samples = min_samples
         self.older = histogram.HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
         self.newer = histogram.HdrHistogram(_MIN_US, _MAX_US, _DIGITS)
         self.swap_at_ms = now_ms + WINDOW_MS / 2
@@ -46,15 +48,15 @@
             self.newer.reset()
         if (
             now_ms >= self.swap_at_ms
-            and self.newer.get_total_count() >= MIN_SAMPLES
+            and self.newer.get_total_count() >= self._min_samples
         ):
             self.older.reset()
             self.older, self.newer = self.newer, self.older
             self.swap_at_ms = now_ms + WINDOW_MS / 2
         self.refreshed_ms = now_ms
         self.refresh_at_ms = now_ms + REFRESH_MS
-        if self.older.get_total_count() >= MIN_SAMPLES:
-            value_us = self.older.get_value_at_percentile(QUANTILE_PERCENT)
+        if self.older.get_total_count() >= self._min_samples:
+            value_us = self.older.get_value_at_percentile(self._percent)
             self.delay_ms = value_us / 1000.0
         else:
             self.delay_ms = None
@@ -74,7 +76,19 @@
     budgeted = True
     cancels_previous = False
 
-    def __init__(self):
+    def __init__(
+        self,
+        quantile_percent: float = QUANTILE_PERCENT,
+        min_samples: int = MIN_SAMPLES,
+    ):
+        """Creates a hedger without samples.
+
+        Args:
+          quantile_percent: Percentile of the latencies to wait for.
+          min_samples: Samples without which no percentile is known.
+        """
+        self._quantile_percent = quantile_percent
+        self._min_samples = min_samples
         self._windows: dict[str, _Window] = {}
 
     def observe(
@@ -90,7 +104,9 @@
         """
         window = self._windows.get(application)
         if window is None:
-            window = self._windows[application] = _Window(now_ms)
+            window = self._windows[application] = _Window(
+                now_ms, self._quantile_percent, self._min_samples
+            )
         value_us = min(max(int(latency_ms * 1000.0), _MIN_US), _MAX_US)
         if now_ms >= window.refresh_at_ms:
             window.refresh(now_ms)
--- a/auburnway/policy/retry_budget.py
+++ b/auburnway/policy/retry_budget.py
@@ -12,20 +12,28 @@
 class Budget:
     """Token bucket that is filled by sub-requests."""
 
-    def __init__(self, share: float = 0.05, burst: float = 20.0):
-        """Creates an empty bucket.
+    def __init__(
+        self,
+        share: float = 0.05,
+        burst: float = 20.0,
+        reserve: float = RETRY_RESERVE,
+        tokens: float = 0.0,
+    ):
+        """Creates a bucket, empty unless told otherwise.
 
-        It starts empty, so that extra sends never exceed the share, not even
-        shortly after a start.
+        An empty one keeps extra sends within the share from the start.
 
         Args:
           share: Tokens earned by a sub-request; extra load per load.
           burst: Greatest number of tokens kept. Tokens earned in calm would
             otherwise be spent together in a flood.
+          reserve: Tokens that hedges leave for retries.
+          tokens: Tokens at the start.
         """
         self._share = share
         self._burst = burst
-        self._tokens = 0.0
+        self._reserve = reserve
+        self._tokens = tokens
         self._is_overloaded = False
 
     def on_sub_request(self) -> None:
@@ -63,7 +71,7 @@
         Returns:
           True when the hedge is allowed.
         """
-        if self._tokens < RETRY_RESERVE + 1.0 - 1e-9:
+        if self._tokens < self._reserve + 1.0 - 1e-9:
             return False
         return self.try_spend(now_ms)
 
--- /dev/null
+++ b/auburnway/registrar/node.py
@@ -0,0 +1,510 @@
+"""Control instance: agreement on configurations, and news for the entries.
+
+Each control instance accepts heartbeats of backend servers and pushes what is
+new to all entries and to the other control instances. An entry keeps a stream
+to every control instance, so the loss of one delays nothing. The table of
+backend servers is soft state: whoever connects sends the rows that it knows,
+so a control instance that starts with an empty table learns them again.
+"""
+
+from collections import abc
+import functools
+import secrets
+
+import loguru
+from returns import pipeline
+from returns import result
+
+from auburnway.control import node as consensus
+from auburnway.control import store as store_lib
+from auburnway.core import errors
+from auburnway.core import raft_records
+from auburnway.core import raft_wire
+from auburnway.core import server_table
+from auburnway.kernel import process
+from auburnway.net import socket_set
+from auburnway.net import stream as stream_lib
+from auburnway.registrar import messages
+from auburnway.registrar import revision_machine
+from auburnway.registrar import settings as settings_lib
+from auburnway.storage import disk as disk_lib
+
+# A server that missed this many heartbeats counts as silent here.
+MISSED_HEARTBEATS = 2.5
+TICK_MS = 250.0
+# Entries need about this long to connect after a start of all processes; an
+# earlier list would leave most of them out.
+FIRST_LIST_MS = 1500.0
+
+
+class NotAvailable(errors.Error):
+    """This instance cannot answer now; another one may."""
+
+    code = "not_available"
+    remedy = "Send the call again, to another control instance first."
+    http_status = 503
+
+
+class RevisionConflict(errors.Error):
+    """The revision in force has other content."""
+
+    code = "revision_conflict"
+    remedy = "Read the configuration in force, and send a higher revision."
+    http_status = 409
+
+
+class SeeLeader(errors.Error):
+    """Another instance leads; `detail` is its IP address."""
+
+    code = "see_leader"
+    remedy = "Send the call to the instance that is named."
+    http_status = 307
+
+
+class _Link:
+    """Carries Raft messages over the stream to one control instance."""
+
+    def __init__(self, node: "Node", address: str):
+        self._node = node
+        self._address = address
+
+    def send(self, message: raft_records.Message) -> None:
+        dialer = self._node.dialer(self._address)
+        wire = messages.Raft(self._node.address, raft_wire.encode(message))
+        dialer.send(messages.encode(wire))
+
+    def close(self) -> None:
+        """The stream is owned by the node."""
+
+
+def open_store(
+    settings: settings_lib.Settings, disk: disk_lib.Disk
+) -> tuple[store_lib.Identity, store_lib.Store]:
+    """Opens the data folder, and writes a new one first if it is empty.
+
+    On the first start of the whole system the seeds are the voters. Any other
+    instance with an empty folder gets a new incarnation, which joins.
+
+    Raises:
+      DiskFault: The folder cannot be used.
+    """
+    address = f"{settings.ip}:{settings.internal_port}"
+    identity = store_lib.read_identity(disk)
+    if identity is None:
+        first = tuple(
+            raft_records.Member(seed, store_lib.first_incarnation(seed), seed)
+            for seed in sorted(internal_addresses(settings))
+        )
+        is_voter = settings.is_first_start and address in [
+            m.name for m in first
+        ]
+        incarnation = (
+            store_lib.first_incarnation(address)
+            if is_voter
+            else f"{address}.{secrets.token_hex(8)}"
+        )
+        identity = store_lib.Identity(address, incarnation)
+        store_lib.create(disk, identity, first if is_voter else ())
+        loguru.logger.bind(incarnation=incarnation, is_voter=is_voter).info(
+            "made a new data folder"
+        )
+    return identity, store_lib.Store(disk)
+
+
+def internal_addresses(settings: settings_lib.Settings) -> set[str]:
+    """Returns the internal addresses of the seeds."""
+    return {
+        f"{seed.rpartition(':')[0]}:{settings.internal_port}"
+        for seed in settings.seeds
+    }
+
+
+class Node:
+    """One control instance.
+
+    Args:
+      settings: Settings.
+      identity: Identity of the data folder.
+      store: Open data folder.
+      loop: Loop that runs this node.
+      sockets: Set that watches the streams.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        identity: store_lib.Identity,
+        store: store_lib.Store,
+        loop: process.Loop,
+        sockets: socket_set.SocketSet,
+    ):
+        self.address = f"{settings.ip}:{settings.internal_port}"
+        self.table = server_table.Table()
+        self._settings = settings
+        self._identity = identity
+        self._loop = loop
+        self._clock = loop.clock
+        self._sockets = sockets
+        self._started_ms = self._clock.now_ms()
+        self._dialers: dict[str, stream_lib.Dialer] = {}
+        self._heard_ms: dict[str, float] = {}
+        self._entries: dict[stream_lib.Stream, messages.EntryState] = {}
+        self._sent_entries: tuple = ()
+        self._sent_revision = -1
+        self.consensus = consensus.Node(
+            identity,
+            self.address,
+            store,
+            loop,
+            lambda address, post: _Link(self, address),
+            revision_machine.RevisionMachine(),
+            self._ask_to_join,
+            raft_records.Config(
+                identity.incarnation,
+                remove_silent_ms=settings.remove_silent_ms,
+            ),
+        )
+        self.consensus.on_applied = self._on_applied
+        self._listener = stream_lib.Listener(
+            self.address,
+            sockets,
+            loop.timers,
+            self._clock,
+            self._on_message,
+            self._on_lost,
+        )
+        loop.stack.callback(self._listener.close)
+        loop.stack.callback(self._close_dialers)
+        self._sync_dialers()
+        loop.timers.every(TICK_MS, self._tick)
+
+    # Operators.
+
+    def put_configuration(
+        self,
+        command: revision_machine.PutRevision,
+        on_reply: abc.Callable[[result.Result], None],
+    ) -> None:
+        """Accepts a checked configuration once a majority has it on disk.
+
+        Args:
+          command: Revision with its digest and stored form.
+          on_reply: Called with Success(None), `RevisionConflict`, `SeeLeader`
+            or `NotAvailable`.
+        """
+        elsewhere = self._elsewhere()
+        if elsewhere is not None:
+            on_reply(result.Failure(elsewhere))
+            return
+
+        def on_applied(reply: result.Result):
+            if not pipeline.is_successful(reply):
+                error = NotAvailable("the outcome is not known")
+                on_reply(result.Failure(error))
+            elif reply.unwrap():
+                on_reply(result.Success(None))
+            else:
+                error = RevisionConflict(f"revision {command.revision}")
+                on_reply(result.Failure(error))
+
+        self.consensus.post(lambda: self.consensus.propose(command, on_applied))
+
+    def read_configuration(
+        self, on_reply: abc.Callable[[result.Result], None]
+    ) -> None:
+        """Reads the configuration in force, linearizably.
+
+        Args:
+          on_reply: Called with the `revision_machine.State`, `SeeLeader` or
+            `NotAvailable`.
+        """
+        elsewhere = self._elsewhere()
+        if elsewhere is not None:
+            on_reply(result.Failure(elsewhere))
+            return
+
+        def on_ready(reply: result.Result):
+            state = self.consensus.state
+            if not pipeline.is_successful(reply):
+                error = NotAvailable("leadership was lost")
+                on_reply(result.Failure(error))
+            elif state.revision < 0:
+                error = NotAvailable("there is no configuration yet")
+                on_reply(result.Failure(error))
+            else:
+                on_reply(result.Success(state))
+
+        self.consensus.post(lambda: self.consensus.read(on_ready))
+
+    def _elsewhere(self) -> errors.Error | None:
+        if self.consensus.is_leader:
+            return None
+        leader = self.consensus.leader_address
+        if not leader or not self.consensus.raft.hears_leader():
+            return NotAvailable("no leader is known")
+        return SeeLeader(leader.rpartition(":")[0])
+
+    # Backend servers.
+
+    def take_heartbeat(self, row: server_table.Row) -> errors.Error | None:
+        """Takes a heartbeat; returns why it cannot be acknowledged, or None."""
+        if self._is_alone():
+            return NotAvailable("this instance reaches no other")
+        now_ms = self._clock.now_ms()
+        if self.table.put(row, now_ms):
+            loguru.logger.bind(
+                server=row.server_id,
+                service=row.service,
+                state=row.state.value,
+                sequence=row.sequence,
+            ).info("backend server changed")
+            self._push_rows((row.server_id,))
+        if row.server_id not in self._heard_ms:
+            self._push_heard((row.server_id,), True)
+        self._heard_ms[row.server_id] = now_ms
+        return None
+
+    def end_server(self, server_id: str) -> errors.Error | None:
+        """Takes a server's word that it ends; as `take_heartbeat`."""
+        if self._is_alone():
+            return NotAvailable("this instance reaches no other")
+        row = self.table.end(server_id, self._clock.now_ms())
+        if row is not None:
+            loguru.logger.bind(server=server_id).info("backend server ended")
+            self._push_rows((server_id,))
+        return None
+
+    def _is_alone(self) -> bool:
+        others = [a for a in self._dialers if a != self.address]
+        has_peer = any(self._dialers[a].stream is not None for a in others)
+        return bool(others) and not has_peer and not self._entries
+
+    # Streams.
+
+    def dialer(self, address: str) -> stream_lib.Dialer:
+        """Returns the dialer to another control instance."""
+        dialer = self._dialers.get(address)
+        if dialer is None:
+            dialer = self._dialers[address] = stream_lib.Dialer(
+                address,
+                self._sockets,
+                self._loop.timers,
+                self._clock,
+                self._on_open,
+                self._on_message,
+            )
+        return dialer
+
+    def _on_open(self, stream: stream_lib.Stream) -> None:
+        hello = messages.Hello("control", self.address)
+        stream.send(messages.encode(hello))
+        self._send_table(stream)
+
+    def _send_table(self, stream: stream_lib.Stream) -> None:
+        rows = tuple(map(server_table.encode_row, self.table.rows()))
+        if rows:
+            stream.send(messages.encode(messages.Rows(rows)))
+
+    def _on_message(self, stream: stream_lib.Stream, value) -> None:
+        try:
+            message = messages.decode(value)
+        except (KeyError, TypeError, ValueError) as error:
+            loguru.logger.bind(peer=stream.peer_ip).warning(
+                "ignored an unknown message: {}", repr(error)
+            )
+            return
+        _take(message, stream, self)
+
+    def _on_lost(self, stream: stream_lib.Stream) -> None:
+        if self._entries.pop(stream, None) is not None:
+            loguru.logger.bind(entry=str(stream.context)).warning(
+                "lost the stream of an entry"
+            )
+            self._push_entries()
+
+    def on_hello(
+        self, hello: messages.Hello, stream: stream_lib.Stream
+    ) -> None:
+        """Greets a process that has connected."""
+        stream.context = hello.name
+        self._send_table(stream)
+        if hello.kind == "entry":
+            known = messages.Controls(self.address, self._control_addresses())
+            stream.send(messages.encode(known))
+            heard = messages.Heard(tuple(self._heard_ms), True)
+            stream.send(messages.encode(heard))
+            if self._sent_entries:
+                entries = messages.Entries(self._sent_entries)
+                stream.send(messages.encode(entries))
+            revision = self.consensus.state.revision
+            if revision >= 0:
+                stream.send(messages.encode(messages.Revision(revision)))
+
+    def on_entry_state(
+        self, state: messages.EntryState, stream: stream_lib.Stream
+    ) -> None:
+        """Takes what an entry says of itself."""
+        if self._entries.get(stream) != state:
+            self._entries[stream] = state
+            self._push_entries()
+
+    def on_rows(self, rows: messages.Rows) -> None:
+        """Merges rows and passes on those that are news to the entries."""
+        now_ms = self._clock.now_ms()
+        news = []
+        for fields in rows.rows:
+            row = server_table.decode_row(fields)
+            if self.table.put(row, now_ms):
+                news.append(row.server_id)
+        if news:
+            self._push_rows(tuple(news), to_controls=False)
+
+    def on_fetch(self, stream: stream_lib.Stream) -> None:
+        """Sends the configuration in force, as far as it is known here."""
+        state = self.consensus.state
+        if state.revision >= 0:
+            document = messages.Document(state.revision, state.content)
+            stream.send(messages.encode(document))
+
+    def on_raft(self, raft: messages.Raft) -> None:
+        """Hands a Raft message to the consensus task."""
+        message = raft_wire.decode(raft.message)
+        self.consensus.post(
+            lambda: self.consensus.receive(raft.sender, (message,))
+        )
+
+    def on_join(self, join: messages.Join) -> None:
+        """Adds a control instance, if this one leads."""
+        member = raft_records.Member(
+            join.name, join.incarnation, join.address, voter=False
+        )
+        self.consensus.post(lambda: self.consensus.let_join(member))
+
+    def _push_rows(
+        self, server_ids: tuple[str, ...], to_controls: bool = True
+    ) -> None:
+        rows = tuple(
+            server_table.encode_row(self.table.get(i)) for i in server_ids
+        )
+        frame = stream_lib.pack(messages.encode(messages.Rows(rows)))
+        self._push(frame)
+        if to_controls:
+            for dialer in self._dialers.values():
+                if dialer.stream is not None:
+                    dialer.stream.send_packed(frame)
+
+    def _push_heard(self, server_ids: tuple[str, ...], heard: bool) -> None:
+        message = messages.Heard(server_ids, heard)
+        self._push(stream_lib.pack(messages.encode(message)))
+
+    def _push_entries(self) -> None:
+        if self._clock.now_ms() - self._started_ms < FIRST_LIST_MS:
+            return
+        entries = tuple(
+            sorted(
+                (state.address, state.data_center)
+                for state in self._entries.values()
+                if state.is_ready
+            )
+        )
+        if entries != self._sent_entries:
+            self._sent_entries = entries
+            message = messages.Entries(entries)
+            self._push(stream_lib.pack(messages.encode(message)))
+
+    def _push(self, frame: bytes) -> None:
+        for stream in tuple(self._entries):
+            stream.send_packed(frame)
+
+    # Periodic work.
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        limit_ms = MISSED_HEARTBEATS * self._settings.heartbeat_ms
+        silent = tuple(
+            server_id
+            for server_id, heard_ms in self._heard_ms.items()
+            if now_ms - heard_ms > limit_ms
+        )
+        for server_id in silent:
+            del self._heard_ms[server_id]
+        if silent:
+            loguru.logger.bind(servers=silent).info(
+                "backend servers are not heard any more"
+            )
+            self._push_heard(silent, False)
+        self.table.purge(now_ms)
+        self._push_entries()
+        self._sync_dialers()
+
+    def _control_addresses(self) -> tuple[str, ...]:
+        members = {m.address for m in self.consensus.raft.members}
+        return tuple(sorted(members or internal_addresses(self._settings)))
+
+    def _sync_dialers(self) -> None:
+        wanted = {m.address for m in self.consensus.raft.members}
+        wanted |= internal_addresses(self._settings)
+        wanted.discard(self.address)
+        for address in wanted:
+            self.dialer(address)
+        for address in tuple(self._dialers):
+            if address not in wanted:
+                self._dialers.pop(address).close()
+
+    def _close_dialers(self) -> None:
+        for dialer in self._dialers.values():
+            dialer.close()
+
+    def _ask_to_join(self) -> None:
+        join = messages.Join(
+            self._identity.name, self._identity.incarnation, self.address
+        )
+        for dialer in self._dialers.values():
+            dialer.send(messages.encode(join))
+
+    def _on_applied(self) -> None:
+        revision = self.consensus.state.revision
+        if revision > self._sent_revision:
+            self._sent_revision = revision
+            message = messages.Revision(revision)
+            self._push(stream_lib.pack(messages.encode(message)))
+            loguru.logger.bind(revision=revision).info(
+                "configuration is committed"
+            )
+        known = messages.Controls(self.address, self._control_addresses())
+        self._push(stream_lib.pack(messages.encode(known)))
+
+
+@functools.singledispatch
+def _take(message, stream: stream_lib.Stream, node: Node) -> None:
+    """Handles a message of a stream; one for other processes is ignored."""
+
+
+@_take.register
+def _(message: messages.Hello, stream, node) -> None:
+    node.on_hello(message, stream)
+
+
+@_take.register
+def _(message: messages.EntryState, stream, node) -> None:
+    node.on_entry_state(message, stream)
+
+
+@_take.register
+def _(message: messages.Rows, stream, node) -> None:
+    node.on_rows(message)
+
+
+@_take.register
+def _(message: messages.Fetch, stream, node) -> None:
+    node.on_fetch(stream)
+
+
+@_take.register
+def _(message: messages.Raft, stream, node) -> None:
+    node.on_raft(message)
+
+
+@_take.register
+def _(message: messages.Join, stream, node) -> None:
+    node.on_join(message)
