Take each reply of a read by itself

Two replies that arrive in one read were parsed into one: headers of the second, bodies of both.

Change: the parser starts anew with each message; the first that carries the expected id ends the call, and the connection is closed after an odd one.

Conclusion: a read is no message boundary.

--- a/auburnway/kernel/process.py
+++ b/auburnway/kernel/process.py
@@ -5,6 +5,7 @@
 import contextlib
 import signal
 import sys
+import threading
 import typing
 
 import circuits
@@ -86,14 +87,16 @@
     def run(self) -> None:
         """Runs until `stop`; SIGTERM and SIGINT call `on_stop` once."""
         self.root.loop = self
-        # The default action of SIGHUP would end the process.
-        signal.signal(
-            signal.SIGHUP,
-            lambda *_: self.timers.after(0.0, lambda: self.on_reload()),
-        )
+        if threading.current_thread() is threading.main_thread():
+            # The default action of SIGHUP would end the process.
+            signal.signal(signal.SIGHUP, self._on_hangup)
         with self.stack:
             self.root.run()
 
+    def _on_hangup(self, number, frame) -> None:
+        del number, frame
+        self.timers.after(0.0, lambda: self.on_reload())
+
     def stop(self) -> None:
         """Ends the loop."""
         self.root.stop()
--- a/auburnway/net/socket_set.py
+++ b/auburnway/net/socket_set.py
@@ -61,6 +61,10 @@
 
     @core.handler("_read")
     def _on_read(self, _):
+        self.dispatch_ready()
+
+    def dispatch_ready(self) -> None:
+        """Calls back for all sockets that are ready now."""
         for descriptor, mask in self._epoll.poll(0):
             # An earlier callback of this batch may have closed the socket.
             on_ready = self._callbacks.get(descriptor)
--- a/auburnway/net/web_client.py
+++ b/auburnway/net/web_client.py
@@ -105,6 +105,16 @@
             on_reply(reply)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Message:
+    """One reply as it was parsed."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    keep_alive: bool
+
+
 class _Connection:
     """One socket with its parser; also the parser's callback target."""
 
@@ -117,8 +127,10 @@
         self.idle_until_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_MS
         self._unsent = b""
-        # Set when the connection must not carry another call.
+        # Set when something that is no reply was read.
         self._is_spoiled = False
+        # Set when a reply to another request was read.
+        self._skipped = False
         self._reset_reply()
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -131,13 +143,16 @@
 
     def _reset_reply(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        # One read may hold several replies.
+        self._messages: list[_Message] = []
+        self.on_message_begin()
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._has_headers = False
-        self._complete = False
-        self._keep_alive = False
-
-    # Callbacks of httptools.
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name, value))
@@ -149,8 +164,16 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        self._complete = True
-        self._keep_alive = self._parser.should_keep_alive()
+        self._messages.append(self._message(self._parser.should_keep_alive()))
+        self._has_headers = False
+
+    def _message(self, keep_alive: bool) -> "_Message":
+        return _Message(
+            self._parser.get_status_code(),
+            tuple(self._headers),
+            b"".join(self._body),
+            keep_alive,
+        )
 
     # Sending.
 
@@ -216,45 +239,54 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            # Bytes after a complete reply that states its own end.
+            # What follows a complete reply may not be a reply.
             self._is_spoiled = True
-            if not self._complete:
-                self.close(_PROTOCOL)
-                return
-        if self._complete or (self.call.has_no_body and self._has_headers):
-            self._finish_reply()
+        if self.call.has_no_body and self._has_headers and not self._messages:
+            self._messages.append(self._message(False))
+        self._take_messages()
+        if self.is_open and self.call is not None and self._is_spoiled:
+            self.close(_PROTOCOL)
+
+    def _take_messages(self) -> None:
+        """Ends the call with the first reply that belongs to it."""
+        messages, self._messages = self._messages, []
+        for i, message in enumerate(messages):
+            if message.status < 200:
+                continue
+            fields = {name.lower(): value for name, value in message.headers}
+            wanted = self.call.reply_id
+            if fields.get(self.pool.id_header, wanted) != wanted:
+                # A late reply to an earlier request; the expected one follows.
+                self._skipped = True
+                continue
+            is_last = i == len(messages) - 1 and not self._has_headers
+            self._finish_call(message, fields, is_last)
+            return
 
     def _on_end(self) -> None:
         """Handles the end of the stream, which may delimit a body."""
         names = {name.lower() for name, _ in self._headers}
         delimits = not names & {b"content-length", b"transfer-encoding"}
         if self.call is not None and self._has_headers and delimits:
-            self._is_spoiled = True
-            self._finish_reply()
-        else:
+            self._messages.append(self._message(False))
+            self._take_messages()
+        if self.is_open:
             self.close(_LOST)
 
-    def _finish_reply(self) -> None:
-        call = self.call
-        status = self._parser.get_status_code()
-        headers = tuple(self._headers)
-        body = b"".join(self._body)
-        fields = {name.lower(): value for name, value in headers}
-        keep = self._keep_alive and not self._unsent and not self._is_spoiled
-        self._reset_reply()
-        if status < 200:
-            return
-        if fields.get(self.pool.id_header, call.reply_id) != call.reply_id:
-            # A late reply to an earlier request; the expected one follows.
-            self._is_spoiled = True
-            return
-        self.call = None
-        if keep and not call.has_no_body:
+    def _finish_call(
+        self, message: "_Message", fields: dict[bytes, bytes], is_last: bool
+    ) -> None:
+        call, self.call = self.call, None
+        is_clean = is_last and not self._is_spoiled and not self._skipped
+        if message.keep_alive and is_clean and not self._unsent:
+            self._reset_reply()
             self.idle_limit_ms = _idle_limit_ms(fields)
             self._become_idle()
         else:
             self.close(_LOST)
-        call.finish(Reply(status, headers, fields, body))
+        call.finish(
+            Reply(message.status, message.headers, fields, message.body)
+        )
 
     def _become_idle(self) -> None:
         self.idle_until_ms = self.pool.clock.now_ms() + self.idle_limit_ms
