Admit queries by the room of their shards

Change: server choice learns slowness net of queues and the share of rejections; a shard that will not answer within the objective is left out, or the query is refused at once; hedges go to free slots only.

Tests of the new modules and of the real programs on loopback come with it.

--- /dev/null
+++ b/auburnway/core/server_table_test.py
@@ -0,0 +1,121 @@
+"""Merging what is known of backend servers."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from auburnway.core import server_table
+
+READY = server_table.State.READY
+DRAINING = server_table.State.DRAINING
+ENDED = server_table.State.ENDED
+ROW = server_table.Row("i-1", 100, 1, "s", "10.0.0.1:80", "a", 3, READY)
+
+
+def make(**changes):
+    return dataclasses.replace(ROW, **changes)
+
+
+def table_of(*rows):
+    table = server_table.Table()
+    for row in rows:
+        table.put(row, 0.0)
+    return table
+
+
+def test_late_heartbeat_does_not_undo_a_drain():
+    table = table_of(make(sequence=5, state=DRAINING), make(sequence=4))
+    assert table.servers("s") == ()
+
+
+def test_start_that_drains_never_becomes_ready_again():
+    table = table_of(make(sequence=5, state=DRAINING), make(sequence=6))
+    assert table.servers("s") == ()
+
+
+def test_late_heartbeat_does_not_revive_an_ended_server():
+    table = table_of(ROW)
+    table.end("i-1", 0.0)
+    assert not table.put(make(sequence=9), 0.0)
+    assert table.servers("s") == ()
+
+
+def test_new_start_with_the_same_identity_counts():
+    # A server may start again under the id that it had, with counts anew.
+    table = table_of(make(sequence=9, state=DRAINING))
+    assert table.put(make(started_ms=200, sequence=1), 0.0)
+    assert len(table.servers("s")) == 1
+
+
+def test_heartbeat_of_an_earlier_start_is_ignored():
+    table = table_of(make(started_ms=200))
+    assert not table.put(make(started_ms=100, sequence=99), 0.0)
+
+
+def test_address_belongs_to_the_latest_start():
+    # A held back heartbeat of a dead server names an address that another
+    # service has taken over.
+    table = table_of(make(server_id="i-2", started_ms=300, service="t"), ROW)
+    assert table.servers("s") == ()
+    assert [row.server_id for row in table.servers("t")] == ["i-2"]
+
+
+def test_equal_content_is_no_news():
+    table = table_of(ROW)
+    assert not table.put(make(sequence=2, cold_ms=7), 0.0)
+
+
+def test_silent_only_when_no_control_instance_hears_it():
+    table = table_of(ROW)
+    assert not table.is_silent("i-1")
+    table.set_heard("i-1", "x", False)
+    assert table.is_silent("i-1")
+    table.set_heard("i-1", "y", True)
+    assert not table.is_silent("i-1")
+
+
+def test_lost_control_makes_no_server_silent():
+    # After the loss of all control, servers must not be forgotten.
+    table = table_of(ROW)
+    table.set_heard("i-1", "x", False)
+    table.drop_control("x")
+    assert not table.is_silent("i-1")
+
+
+def test_tombstone_is_dropped_after_its_time():
+    table = table_of(ROW)
+    table.end("i-1", 0.0)
+    table.purge(server_table.TOMBSTONE_MS)
+    assert len(table) == 1
+    table.purge(server_table.TOMBSTONE_MS + 1)
+    assert len(table) == 0
+
+
+rows = st.builds(
+    make,
+    server_id=st.sampled_from(["i-1", "i-2"]),
+    started_ms=st.integers(1, 3),
+    sequence=st.integers(1, 4),
+    state=st.sampled_from([READY, DRAINING, ENDED]),
+)
+
+
+@given(st.lists(rows, max_size=8))
+def test_drained_or_ended_start_is_never_usable_in_any_order(given_rows):
+    # Control instances and entries merge the same news in different orders.
+    for order in (given_rows, given_rows[::-1]):
+        table = table_of(*order)
+        for row in table.servers("s"):
+            later = [
+                other
+                for other in given_rows
+                if other.server_id == row.server_id
+                and other.version > row.version
+            ]
+            assert not later
+
+
+@given(rows)
+def test_wire_form(row):
+    assert server_table.decode_row(server_table.encode_row(row)) == row
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -31,6 +31,10 @@
 # Part of a route's latency objective after which a hedge is sent while too
 # few latencies are known.
 FIRST_HEDGE_SHARE = 0.4
+# The base time of a route is this percentile of its latencies, net of queues;
+# while too few are known it is this share of the latency objective.
+BASE_QUANTILE_PERCENT = 50.0
+FIRST_BASE_SHARE = 0.2
 # Part of the retry budget that is used. Entries do not see each other's
 # sends, and windows of different entries do not start together.
 BUDGET_USE = 0.7
@@ -68,6 +72,7 @@
 class _Send:
     row: server_table.Row
     sent_ms: float
+    expected_ms: float
     call: web_client.Call | None = None
     is_done: bool = False
 
@@ -118,16 +123,17 @@
 
     def _send(self) -> None:
         dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
-        tried = {send.row.server_id for send in self._sends}
-        row = dispatcher.choose(self.service, tried)
+        row = dispatcher.choose(self.service, self._job.route, self._tried())
         if row is None:
             if not self._pending():
                 self._end_without_reply()
             return
-        send = _Send(row, now_ms)
+        seen = dispatcher.seen(row)
+        base_ms = dispatcher.base_ms(self._job.route)
+        send = _Send(row, now_ms, base_ms * seen.queue_factor(now_ms))
         self._sends.append(send)
         self._rules.on_send()
-        dispatcher.seen(row).on_send(now_ms)
+        seen.on_send(now_ms)
         send.call = dispatcher.pool.send(
             row.address,
             dispatcher.payload(self._job, row, now_ms),
@@ -139,6 +145,9 @@
         if self.outcome is None and not send.is_done:
             self._set_hedge()
 
+    def _tried(self) -> set[str]:
+        return {send.row.server_id for send in self._sends}
+
     def _set_hedge(self) -> None:
         if self._timer is not None or not self._job.route.is_repeatable:
             return
@@ -150,6 +159,11 @@
         budget = self._dispatcher.budget(self.service)
         if self.outcome is not None or not self._rules.may_hedge():
             return
+        if not self._dispatcher.has_room(
+            self.service, self._job.route, self._tried()
+        ):
+            # A copy on a full server only lengthens the queue there.
+            return
         if budget.try_spend_hedge(self._dispatcher.now_ms()):
             self._dispatcher.counts["hedge"] += 1
             self._send()
@@ -158,7 +172,7 @@
         dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
         send.is_done = True
         verdict = dispatcher.classify(reply)
-        dispatcher.learn(self._job.route, send.row, send.sent_ms, reply)
+        dispatcher.learn(self._job.route, send, reply)
         self._rules.on_end(verdict, reply.reached)
         if verdict is attempts_lib.Verdict.SUCCESS:
             self._end(attempts_lib.Outcome.SUCCESS, reply)
@@ -207,7 +221,8 @@
             if not send.is_done:
                 send.is_done = True
                 seen = self._dispatcher.seen(send.row)
-                seen.on_cancel(send.sent_ms, now_ms)
+                ratio = (now_ms - send.sent_ms) / send.expected_ms
+                seen.on_cancel(send.sent_ms, now_ms, ratio)
                 if send.call is not None:
                     send.call.cancel()
 
@@ -252,6 +267,7 @@
         self._seen: dict[str, server_choice.Server] = {}
         self._budgets: dict[str, retry_budget.Budget] = {}
         self._hedger = hedging.Hedger(HEDGE_QUANTILE_PERCENT, HEDGE_MIN_SAMPLES)
+        self._base = hedging.Hedger(BASE_QUANTILE_PERCENT, HEDGE_MIN_SAMPLES)
         self._limits: dict[str, int] = {}
         self._rng = random.Random(settings.name)
 
@@ -286,31 +302,60 @@
         return seen
 
     def choose(
-        self, service: str, tried: abc.Set[str]
+        self, service: str, route: route_table.Route, tried: abc.Set[str]
     ) -> server_table.Row | None:
         """Returns the best server that was not tried yet, or None."""
-        rows = {
-            row.server_id: row
+        best = self._best(service, route, tried)
+        return self._feed.table.get(best.key) if best is not None else None
+
+    def has_room(
+        self, service: str, route: route_table.Route, tried: abc.Set[str]
+    ) -> bool:
+        """Whether the best server that was not tried has a free slot."""
+        best, now_ms = self._best(service, route, tried), self.now_ms()
+        if best is None or not server_choice.is_usable(best, now_ms):
+            return False
+        return best.server.busy(now_ms) < best.server.slots
+
+    def expected_ms(
+        self, service: str, route: route_table.Route
+    ) -> float | None:
+        """Returns the expected time of a request; None without a server."""
+        best = self._best(service, route, frozenset())
+        if best is None:
+            return None
+        base_ms = self.base_ms(route)
+        return best.server.expected_ms(self.now_ms(), base_ms)
+
+    def base_ms(self, route: route_table.Route) -> float:
+        """Returns the time of a request of a route on an idle server."""
+        base_ms = self._base.delay_ms(route.name)
+        return (
+            FIRST_BASE_SHARE * route.target_ms if base_ms is None else base_ms
+        )
+
+    def _best(
+        self, service: str, route: route_table.Route, tried: abc.Set[str]
+    ) -> server_choice.Candidate | None:
+        candidates = [
+            self._candidate(row)
             for row in self._feed.table.servers(service)
             if row.server_id not in tried
-        }
-        limit = self._connection_limit(service)
-        for row in rows.values():
-            self.pool.set_limit(row.address, limit)
-        candidates = [
-            server_choice.Candidate(
-                row.server_id,
-                self.seen(row),
-                0.0
-                if row.data_center == self._settings.data_center
-                else self._settings.other_data_center_ms,
-                self._feed.table.is_silent(row.server_id)
-                or not self.pool.has_capacity(row.address),
-            )
-            for row in rows.values()
         ]
-        key = server_choice.choose(candidates, self.now_ms(), self._rng)
-        return rows.get(key)
+        return server_choice.choose(
+            candidates, self.now_ms(), self.base_ms(route), self._rng
+        )
+
+    def _candidate(self, row: server_table.Row) -> server_choice.Candidate:
+        self.pool.set_limit(row.address, self._connection_limit(row.service))
+        is_near = row.data_center == self._settings.data_center
+        return server_choice.Candidate(
+            row.server_id,
+            self.seen(row),
+            0.0 if is_near else self._settings.other_data_center_ms,
+            self._feed.table.is_silent(row.server_id)
+            or not self.pool.has_capacity(row.address),
+        )
 
     def _connection_limit(self, service: str) -> int:
         entries = len(self._feed.entries())
@@ -349,26 +394,32 @@
         return attempts_lib.Verdict.FAILED
 
     def learn(
-        self,
-        route: route_table.Route,
-        row: server_table.Row,
-        sent_ms: float,
-        reply: web_client.Reply,
+        self, route: route_table.Route, send: _Send, reply: web_client.Reply
     ) -> None:
         """Takes what a reply says of its server."""
-        now_ms, seen = self.now_ms(), self.seen(row)
+        now_ms, seen = self.now_ms(), self.seen(send.row)
         verdict = self.classify(reply)
+        latency_ms = now_ms - send.sent_ms
         if verdict is attempts_lib.Verdict.SUCCESS:
-            seen.on_reply(sent_ms, now_ms)
-            self._hedger.observe(route.name, now_ms - sent_ms, now_ms)
+            ratio = latency_ms / send.expected_ms
+            seen.on_reply(send.sent_ms, now_ms, ratio)
+            self._hedger.observe(route.name, latency_ms, now_ms)
+            net_ms = ratio * self.base_ms(route)
+            self._base.observe(route.name, net_ms, now_ms)
         elif verdict is attempts_lib.Verdict.REJECTED and reply.status != 421:
-            seen.on_rejected(sent_ms)
+            seen.on_rejected(send.sent_ms, now_ms)
         else:
-            seen.on_failure(sent_ms, now_ms)
-        load = reply.fields.get(self._dialect.load)
-        if load is not None:
-            numbers = load.split(b",")
-            if len(numbers) == 3 and all(n.strip().isdigit() for n in numbers):
-                running, waiting, slots = map(int, numbers)
-                seen.slots = max(slots, 1)
-                seen.on_load(running, waiting, now_ms)
+            seen.on_failure(send.sent_ms, now_ms)
+        self._take_load(seen, reply, now_ms)
+
+    def _take_load(
+        self,
+        seen: server_choice.Server,
+        reply: web_client.Reply,
+        now_ms: float,
+    ) -> None:
+        numbers = reply.fields.get(self._dialect.load, b"").split(b",")
+        if len(numbers) == 3 and all(n.strip().isdigit() for n in numbers):
+            running, waiting, slots = map(int, numbers)
+            seen.slots = max(slots, 1)
+            seen.on_load(running, waiting, now_ms)
--- a/auburnway/gateway/job.py
+++ b/auburnway/gateway/job.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import random
 
 from auburnway.core import route_table
 from auburnway.gateway import attempts
@@ -30,6 +31,8 @@
 # latency objective when that is longer.
 MIN_RETRY_AFTER_MS = 30.0
 RETRY_AFTER_SHARE = 0.3
+# A client waits at most this part of the time that it has left.
+MAX_RETRY_AFTER_SHARE = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,23 @@
     return max(MIN_RETRY_AFTER_MS, RETRY_AFTER_SHARE * route.target_ms)
 
 
+def spread_retry_after_ms(
+    route: route_table.Route, left_ms: float, rng: random.Random
+) -> float:
+    """Returns when a request that found no room may come back.
+
+    Clients that are refused together must not come back together.
+
+    Args:
+      route: Its route.
+      left_ms: Time that the client has left.
+      rng: Spreads the returns.
+    """
+    low_ms = retry_after_ms(route)
+    high_ms = max(MAX_RETRY_AFTER_SHARE * left_ms, low_ms)
+    return rng.uniform(low_ms, high_ms)
+
+
 def _without_reply(route, may_have_run: bool, reason: str) -> Answer:
     if may_have_run:
         return refusal(502, reason)
@@ -151,6 +171,7 @@
         dispatcher: dispatcher_lib.Dispatcher,
         dialect: dialect_lib.Dialect,
         job: dispatcher_lib.Job,
+        shards: tuple[str, ...],
         target_ms: float,
         on_answer: OnAnswer,
     ):
@@ -160,6 +181,7 @@
           dispatcher: Sends the sub-requests.
           dialect: Header names.
           job: The request.
+          shards: Shards of the route that the query is sent to.
           target_ms: Instant by which the answer must be on its way.
           on_answer: Called once with the answer.
         """
@@ -171,10 +193,10 @@
         self._is_late = False
         self._is_done = False
         self._parts: dict[str, dispatcher_lib.Leg] = {}
-        self._open = len(self._gather.shards)
+        self._open = len(shards)
         self._legs = [
             dispatcher_lib.Leg(dispatcher, job, shard, self._on_leg)
-            for shard in self._gather.shards
+            for shard in shards
         ]
         now_ms = dispatcher.now_ms()
         self._timers = [
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -1,5 +1,7 @@
 """An entry of the pass-through tier: wires its parts together."""
 
+import random
+
 import loguru
 
 from auburnway.core import route_table
@@ -11,6 +13,7 @@
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import web_server
+from auburnway.policy import shard_admission
 
 # Deadline of a request that states none is its route's time-out.
 MAX_DEADLINE_MS = 3_600_000.0
@@ -43,6 +46,8 @@
         self._matcher: route_table.Matcher | None = None
         self._splits: dict[str, list[float]] = {}
         self._stopping_ms: float | None = None
+        self._prober = shard_admission.Prober()
+        self._rng = random.Random(settings.name)
         self.sockets = socket_set.SocketSet(loop.poller).register(loop.root)
         loop.stack.callback(self.sockets.close)
         self.feed = feed_lib.Feed(
@@ -135,17 +140,42 @@
             self._answer(request, job, answer)
 
         if route.gather is not None:
-            target_ms = job.started_ms + route.target_ms
-            target_ms -= self._settings.client_delay_ms
-            work = job_lib.Gathered(
-                self.dispatcher, self._dialect, job, target_ms, on_answer
-            )
+            work = self._gathered(job, on_answer)
+            if work is None:
+                left_ms = job.deadline_ms - job.started_ms
+                wait_ms = job_lib.spread_retry_after_ms(
+                    route, left_ms, self._rng
+                )
+                on_answer(job_lib.refusal(503, "no_room", wait_ms))
+                return
         else:
             service = self._choose_part(route)
             work = job_lib.Single(self.dispatcher, job, service, on_answer)
         request.on_gone = work.cancel
         work.start()
 
+    def _gathered(self, job, on_answer) -> job_lib.Gathered | None:
+        """Returns the work on a query; None when it finds no room."""
+        route, now_ms = job.route, self._clock.now_ms()
+        target_ms = job.started_ms + route.target_ms
+        target_ms -= self._settings.client_delay_ms
+        expected_ms = {
+            shard: self.dispatcher.expected_ms(shard, route)
+            for shard in route.gather.shards
+        }
+        plan = shard_admission.plan(
+            expected_ms, target_ms - now_ms, route.gather.min_coverage
+        )
+        shards = plan.shards
+        if plan.is_refused:
+            if not self._prober.is_due(route.name, now_ms):
+                return None
+            shards = route.gather.shards
+        self._prober.on_admitted(route.name, now_ms)
+        return job_lib.Gathered(
+            self.dispatcher, self._dialect, job, shards, target_ms, on_answer
+        )
+
     def _refuse_early(
         self, request: web_server.Request
     ) -> job_lib.Answer | None:
--- a/auburnway/net/web_client_test.py
+++ b/auburnway/net/web_client_test.py
@@ -1,14 +1,11 @@
 """The pass-through client against a raw socket that plays a backend server."""
 
 import socket
-import time
 
 import pytest
 
-from auburnway.core import clock as clock_lib
-from auburnway.kernel import process
 from auburnway.net import exchange
-from auburnway.net import socket_set
+from auburnway.net import testing
 from auburnway.net import web_client
 
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
@@ -19,10 +16,9 @@
     return head % (request_id, len(body), extra) + body
 
 
-class Rig:
+class Rig(testing.Rig):
     def __init__(self):
-        self.loop = process.Loop(clock_lib.SystemClock())
-        self.sockets = socket_set.SocketSet(self.loop.poller)
+        super().__init__()
         self.pool = web_client.WebPool(
             self.sockets,
             self.loop.timers,
@@ -42,17 +38,6 @@
             self.address, REQUEST, self.replies.append, request_id, **options
         )
 
-    def turn(self, until, timeout_s=2.0):
-        end_s = time.monotonic() + timeout_s
-        while not until():
-            assert time.monotonic() < end_s, "nothing came in time"
-            self.step()
-
-    def step(self):
-        time.sleep(0.002)
-        self.sockets.dispatch_ready()
-        self.loop.timers.run_due()
-
     def accept(self):
         self.turn(lambda: self.pool.connection_count() > 0)
         peer, _ = self.listener.accept()
@@ -61,8 +46,7 @@
         return peer
 
     def receive(self, peer):
-        for _ in range(10):
-            self.step()
+        self.step(10)
         assert peer.recv(4096).endswith(b"\r\n\r\n")
 
     def result(self, count=1):
--- /dev/null
+++ b/auburnway/platform/testing.py
@@ -0,0 +1,348 @@
+"""A small stand-in of the users' platform: settings, backends, operator.
+
+It starts the real programs as processes on loopback addresses, one address a
+machine, and ends exactly those.
+"""
+
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+RECORDS = [bytes([65 + i]) * 16 for i in range(26)]
+
+
+def wait_until(check, timeout_s=15.0):
+    end_s = time.monotonic() + timeout_s
+    while True:
+        value = check()
+        if value:
+            return value
+        assert time.monotonic() < end_s, "nothing came in time"
+        time.sleep(0.05)
+
+
+def call(address, method, path, body=None, headers=None, timeout_s=2.0):
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        data = json.dumps(body) if isinstance(body, dict) else body
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+class Backend:
+    """A backend server with behaviours that tests switch on."""
+
+    def __init__(self, server_id, service, zone="z", records=(), started_ms=1):
+        self.server_id = server_id
+        self.service = service
+        self.zone = zone
+        self.records = b"".join(records)
+        self.started_ms = started_ms
+        self.sequence = 0
+        self.state = "ready"
+        self.delay_s = 0.0
+        self.rejects = False
+        self.seen = []
+        self.cancelled = []
+        backend = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def handle_one_request(self):
+                try:
+                    super().handle_one_request()
+                except OSError:
+                    self.close_connection = True
+
+            def do_GET(self):
+                backend.serve(self)
+
+            do_POST = do_GET  # noqa: N815 (named by http.server)
+
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), Handler
+        )
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def serve(self, handler):
+        length = int(handler.headers.get("Content-Length", 0))
+        body = handler.rfile.read(length)
+        request_id = handler.headers["Request-Id"]
+        if handler.headers["Expect-Instance"] != self.server_id:
+            self._reply(handler, 421, b"", {"Not-Executed": "1"})
+            return
+        if self.rejects:
+            self._reply(handler, 503, b"", {"Not-Executed": "full"})
+            return
+        sent = {k.lower(): v for k, v in handler.headers.items()}
+        self.seen.append((request_id, handler.path, sent))
+        if self._wait_cancelled(handler.connection):
+            self.cancelled.append(request_id)
+            handler.close_connection = True
+            return
+        headers = {
+            "Request-Id": request_id,
+            "Response-Stamp": f"{self.server_id}.{request_id}",
+            "Server-Load": "1,0,3",
+        }
+        self._reply(handler, 200, self.records or b"echo:" + body, headers)
+
+    def _wait_cancelled(self, connection):
+        end_s = time.monotonic() + self.delay_s
+        connection.settimeout(0.02)
+        try:
+            while time.monotonic() < end_s:
+                try:
+                    if not connection.recv(1, socket.MSG_PEEK):
+                        return True
+                except TimeoutError:
+                    pass
+            return False
+        finally:
+            connection.settimeout(None)
+
+    def _reply(self, handler, status, body, headers):
+        handler.send_response(status)
+        for name, value in headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+    def beat(self, control, **changes):
+        self.sequence += 1
+        body = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 3,
+            "State": self.state,
+            "ColdRemainingMs": 0,
+            "Sequence": self.sequence,
+            "born": self.started_ms,
+            **changes,
+        }
+        path = f"/auburnway/instances/{self.server_id}/heartbeat"
+        return call(control, "POST", path, body)[0]
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Machine:
+    """One program on one loopback address."""
+
+    def __init__(self, folder, program, ip, settings):
+        self.ip = ip
+        self._program = program
+        self._path = pathlib.Path(folder) / f"{program}-{ip}.toml"
+        self._path.write_text(
+            "\n".join(f"{k} = {json.dumps(v)}" for k, v in settings.items())
+        )
+        self.log_path = self._path.with_suffix(".log")
+        self.process = None
+        self.start()
+
+    def start(self):
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "auburnway.platform", self._program],
+                env={**os.environ, "AUBURNWAY_SETTINGS": str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def stop(self, number=signal.SIGTERM):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self):
+        self.stop(signal.SIGKILL)
+        self.process.wait(10)
+
+
+class Platform:
+    """Control instances and entries; machine `n` has address 127.0.N.n."""
+
+    CONTROL_PORT, FRONT_PORT, READY_PORT, DIRECTORY_PORT = (
+        18224,
+        18226,
+        18227,
+        18225,
+    )
+    INTERNAL_PORT = 17740
+
+    def __init__(self, folder, net, controls=3, entries=2):
+        self.backends = []
+        ips = [f"127.0.{net}.{n + 1}" for n in range(controls)]
+        self.seeds = [f"{ip}:{self.CONTROL_PORT}" for ip in ips[:3]]
+        self._folder = pathlib.Path(folder)
+        self.controls = [self.add_control(ip, True) for ip in ips]
+        self.entries = [
+            self.add_entry(f"127.0.{net}.{100 + n}") for n in range(entries)
+        ]
+
+    def add_control(self, ip, is_first_start):
+        data = self._folder / f"data-{ip}"
+        data.mkdir(exist_ok=True)
+        return Machine(
+            self._folder,
+            "control",
+            ip,
+            {
+                "name": f"core-{ip}",
+                "ip": ip,
+                "data_center": "z",
+                "data_folder": str(data),
+                "public_address": f"{ip}:{self.CONTROL_PORT}",
+                "internal_port": self.INTERNAL_PORT,
+                "seeds": self.seeds,
+                "is_first_start": is_first_start,
+            },
+        )
+
+    def add_entry(self, ip):
+        return Machine(
+            self._folder,
+            "entry",
+            ip,
+            {
+                "name": f"front-{ip}",
+                "ip": ip,
+                "data_center": "z",
+                "client_address": f"{ip}:{self.FRONT_PORT}",
+                "ready_address": f"{ip}:{self.READY_PORT}",
+                "directory_address": f"{ip}:{self.DIRECTORY_PORT}",
+                "internal_port": self.INTERNAL_PORT,
+                "seeds": self.seeds,
+                "grace_ms": 3000,
+            },
+        )
+
+    def operate(self, method, path, body=None):
+        """Calls control as an operator does, until a clear answer comes."""
+
+        def attempt():
+            for machine in self.controls:
+                address = f"{machine.ip}:{self.CONTROL_PORT}"
+                for _ in range(3):
+                    try:
+                        got = call(address, method, path, body)
+                    except OSError:
+                        break
+                    if got[0] == 307:
+                        address = got[1]["Location"].split("/")[2]
+                        continue
+                    if got[0] < 500:
+                        return got
+                    break
+            return None
+
+        return wait_until(attempt)
+
+    def put(self, configuration):
+        return self.operate("POST", "/auburnway/config/put", configuration)[0]
+
+    def add_backend(self, *arguments, **options):
+        backend = Backend(*arguments, **options)
+        self.backends.append(backend)
+        self.beat(backend)
+        return backend
+
+    def beat(self, backend, **changes):
+        control = f"{self.controls[0].ip}:{self.CONTROL_PORT}"
+
+        def attempt():
+            try:
+                status = backend.beat(control, **changes)
+            except OSError:
+                return None
+            return status if status != 503 else None
+
+        return wait_until(attempt)
+
+    def request(self, path, entry=0, method="GET", body=None, **headers):
+        sent = {"Host": "h.example", "Request-Id": "r1", "Deadline-Ms": "1500"}
+        sent |= {k.replace("_", "-"): v for k, v in headers.items()}
+        address = f"{self.entries[entry].ip}:{self.FRONT_PORT}"
+        return call(address, method, path, body, sent, timeout_s=5.0)
+
+    def served(self, path, **options):
+        """Repeats a request until it succeeds."""
+
+        def attempt():
+            try:
+                got = self.request(path, **options)
+            except OSError:
+                return None
+            return got if got[0] == 200 else None
+
+        return wait_until(attempt)
+
+    def close(self):
+        for machine in (*self.entries, *self.controls):
+            machine.end()
+        for backend in self.backends:
+            backend.close()
+
+
+def configuration(version, timeout_ms=1500):
+    """Returns a configuration with a single, an unsafe and a gather route."""
+
+    def route(name, prefix, kind="safe", **target):
+        return {
+            "Name": name,
+            "Host": "h.example",
+            "PathPrefix": prefix,
+            "Type": kind,
+            "TimeoutMs": timeout_ms,
+            "TargetLatencyMs": 400,
+            "Priority": 0,
+            "MaxAttempts": 2,
+            **target,
+        }
+
+    return {
+        "Version": version,
+        "Routes": [
+            route("one", "/one/", Service="solo"),
+            route("unsafe", "/unsafe/", "unsafe", Service="solo"),
+            route("all", "/all/", Gather=["sa", "sb"], TopK=3, MinCoverage=0.5),
+        ],
+        "Services": [
+            {
+                "Name": name,
+                "HealthCheckPath": "/health",
+                "MaxConnections": 30,
+                "Protocol": "h1",
+                "Tls": False,
+            }
+            for name in ("solo", "sa", "sb")
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 262144,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
--- /dev/null
+++ b/auburnway/platform/whole_test.py
@@ -0,0 +1,192 @@
+"""The real programs on loopback, spoken to as the platform does."""
+
+import json
+import shutil
+import threading
+import time
+
+import pytest
+
+from auburnway.platform import testing
+
+CATCH_UP_S = 4.0
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture(name="platform", scope="module")
+def _platform(tmp_path_factory):
+    made = testing.Platform(tmp_path_factory.mktemp("platform"), 61)
+    try:
+        assert made.put(testing.configuration(3)) == 200
+        made.add_backend("solo-1", "solo")
+        made.add_backend("sa-1", "sa", records=testing.RECORDS[:4])
+        made.add_backend("sb-1", "sb", records=testing.RECORDS[2:6])
+        for entry in range(2):
+            for path in ("/one/x", "/all/x"):
+                made.served(path, entry=entry)
+        yield made
+    finally:
+        made.close()
+
+
+def backend(platform, name):
+    return next(b for b in platform.backends if b.server_id == name)
+
+
+def test_request_is_passed_on_unchanged(platform):
+    status, headers, body = platform.request(
+        "/one/a%20b?c=d", method="POST", body=b"hello", X_Own="1"
+    )
+    assert (status, body) == (200, b"echo:hello")
+    assert headers["Response-Stamp"] == "solo-1.r1"
+    _, path, sent = backend(platform, "solo-1").seen[-1]
+    assert path == "/one/a%20b?c=d"
+    assert sent["request-id"] == "r1"
+    assert sent["x-own"] == "1"
+    assert sent["expect-instance"] == "solo-1"
+    assert 0 < int(sent["deadline-ms"]) <= 1500
+
+
+def test_gathered_answer(platform):
+    status, headers, body = platform.request("/all/x", Request_Id="g1")
+    assert status == 200
+    stamps = set(headers["part-stamps"].split(", "))
+    assert stamps == {"sa-1.g1", "sb-1.g1"}
+    assert headers["missing-parts"] == "0"
+    # Records 2 and 3 are held by both shards, and equal records all count.
+    assert body == b"".join(testing.RECORDS[i] for i in (5, 4, 3))
+
+
+def test_partial_answer_states_what_is_missing(platform):
+    slow = backend(platform, "sb-1")
+    slow.delay_s = 1.0
+    try:
+        status, headers, body = platform.request("/all/x", Request_Id="g2")
+    finally:
+        slow.delay_s = 0.0
+    assert (status, headers["missing-parts"]) == (200, "1")
+    assert headers["part-stamps"] == "sa-1.g2"
+    assert body == b"".join(testing.RECORDS[i] for i in (3, 2, 1))
+    # The shard that was left out is told to stop.
+    testing.wait_until(lambda: "g2" in slow.cancelled)
+
+
+def test_unknown_route_and_bad_requests(platform):
+    assert platform.request("/none/")[0] == 404
+    assert platform.request("/one/x", Host="other.example")[0] == 404
+    assert platform.request("/one/x", method="POST", body=b"x" * 300_000)[
+        0
+    ] in (413,)
+
+
+def test_full_server_is_a_refusal_that_may_come_back(platform):
+    full = backend(platform, "solo-1")
+    full.rejects = True
+    before = len(full.seen)
+    try:
+        status, headers, _ = platform.request("/unsafe/x", method="POST")
+    finally:
+        full.rejects = False
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert len(full.seen) == before
+
+
+def test_unrepeatable_request_runs_once_when_its_answer_is_late(platform):
+    slow = backend(platform, "solo-1")
+    slow.delay_s = 0.6
+    before = len(slow.seen)
+    try:
+        status, _, _ = platform.request(
+            "/unsafe/x", method="POST", Deadline_Ms="300"
+        )
+    finally:
+        slow.delay_s = 0.0
+    assert status == 504
+    assert len(slow.seen) == before + 1
+
+
+def test_operators(platform):
+    bad = testing.configuration(4)
+    bad["Routes"][0]["TimeoutMs"] = 0
+    assert platform.put(bad) == 400
+    assert platform.operate("POST", "/auburnway/config/put", b"{")[0] == 400
+    other = testing.configuration(3, timeout_ms=999)
+    assert platform.put(other) == 409
+    assert platform.put(testing.configuration(3)) == 200
+    assert platform.put(testing.configuration(1, timeout_ms=5)) == 200
+    status, _, body = platform.operate("GET", "/auburnway/config/get")
+    assert status == 200
+    assert json.loads(body) == testing.configuration(3)
+
+
+def test_unreadable_heartbeat_names_no_server(platform):
+    solo = backend(platform, "solo-1")
+    assert platform.beat(solo, Slots="many") == 400
+    assert platform.beat(solo, State="strange") == 400
+    assert platform.beat(solo, Address=7) == 400
+    assert platform.request("/one/x")[0] == 200
+
+
+def test_drained_server_gets_no_request(platform):
+    old = platform.add_backend("solo-2", "solo")
+    new = backend(platform, "solo-1")
+    testing.wait_until(lambda: platform.request("/one/x")[0] and old.seen)
+    old.state = "draining"
+    assert platform.beat(old) == 200
+    testing.wait_until(lambda: _avoids(platform, old))
+    before = len(new.seen)
+    assert platform.request("/one/x")[0] == 200
+    assert len(new.seen) == before + 1
+
+
+def _avoids(platform, old):
+    before = len(old.seen)
+    for _ in range(10):
+        platform.request("/one/x")
+    return len(old.seen) == before
+
+
+def test_directory(platform):
+    address = f"{platform.entries[0].ip}:{platform.DIRECTORY_PORT}"
+
+    def listed():
+        path = "/auburnway/resolve?Name=h&Region=r&Zone=z"
+        status, _, body = testing.call(address, "GET", path)
+        return json.loads(body)["addrs"] if status == 200 else []
+
+    testing.wait_until(lambda: len(listed()) == 2)
+
+
+def test_control_instance_without_its_disk_joins_again(platform):
+    # A voter that lost its disk must not vote before it is caught up.
+    lost = platform.controls[0]
+    lost.end()
+    data = platform._folder / f"data-{lost.ip}"
+    shutil.rmtree(data)
+    platform.controls[0] = platform.add_control(lost.ip, False)
+    # The platform counts the machine as lost until this long after its start.
+    time.sleep(CATCH_UP_S)
+    platform.controls[1].end()
+    try:
+        status, _, body = platform.operate("GET", "/auburnway/config/get")
+        assert json.loads(body)["Version"] == 3
+    finally:
+        platform.controls[1].start()
+
+
+def test_planned_stop_ends_no_request(platform):
+    slow = backend(platform, "solo-1")
+    slow.delay_s = 0.7
+    results = []
+    worker = threading.Thread(
+        target=lambda: results.append(platform.request("/one/x", entry=1))
+    )
+    worker.start()
+    testing.wait_until(lambda: slow.seen[-1][0] == "r1")
+    platform.entries[1].stop()
+    worker.join()
+    slow.delay_s = 0.0
+    assert results[0][0] == 200
+    assert platform.entries[1].process.wait(10) == 0
--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -1,26 +1,36 @@
-"""Which backend server gets a request of a service.
+"""Which backend server gets a request of a service, and how long it will take.
 
-The server with the least expected time is chosen. Expected time comes from the
-server's own recent latency, the load that it reports and the requests that
-this process has outstanding there. A request that stands far longer than usual
-is the first sign that its server has paused, so the age of the oldest
-outstanding request counts before any reply does.
+The server with the least expected time is chosen. Expected time is the base
+time of the kind of request, times the slowness of the server, times a factor
+for the work that stands there before it. Slowness is learned from latencies
+net of that factor, so that a queue is not counted twice.
+
+A request that stands far longer than usual is the first sign that its server
+has paused, so the age of the oldest outstanding request counts before any
+reply does.
 """
 
 from collections import abc
 import dataclasses
+import math
 import random
 
-# Weight of a new latency in the moving average.
-LATENCY_WEIGHT = 0.2
+# Weight of a new observation in the moving averages.
+WEIGHT = 0.2
+# What was observed counts for less as it ages, with this time constant.
+FORGET_MS = 2_000.0
 # A reported load is worth nothing any more after this time.
 LOAD_VALID_MS = 400.0
 # A server that failed is avoided for this long; doubled with each further
 # failure in a row, up to the maximum.
 FAILURE_PAUSE_MS = 500.0
 MAX_FAILURE_PAUSE_MS = 4_000.0
-# Latency assumed of a server that has not answered yet.
-UNKNOWN_LATENCY_MS = 20.0
+# Servers slow down somewhat as their slots fill.
+FULL_SLOTS_FACTOR = 0.2
+# Slowness of a server that has just started.
+COLD_FACTOR = 1.5
+# Base times that a rejection costs: the retry and its part of the budget.
+REJECTION_COST = 2.0
 # Share of the expected time by which equal servers are told apart.
 JITTER = 0.1
 
@@ -31,9 +41,11 @@
 
     Attributes:
       slots: Requests that it runs at once.
-      latency_ms: Moving average of its latency; None before the first reply.
+      slowness: Moving average of its latency over the expected one.
+      rejections: Moving average of the share of requests that it rejects.
+      seen_ms: Instant of the last observation.
       sent_ms: Instants of the outstanding requests, oldest first.
-      waiting_load: Running and waiting requests that it reported last.
+      load: Running and waiting requests that it reported last.
       load_ms: Instant of that report.
       failures: Failures in a row.
       avoid_until_ms: It is avoided until then.
@@ -41,9 +53,11 @@
     """
 
     slots: int = 1
-    latency_ms: float | None = None
+    slowness: float = 1.0
+    rejections: float = 0.0
+    seen_ms: float = float("-inf")
     sent_ms: list[float] = dataclasses.field(default_factory=list)
-    waiting_load: int = 0
+    load: int = 0
     load_ms: float = float("-inf")
     failures: int = 0
     avoid_until_ms: float = float("-inf")
@@ -53,19 +67,24 @@
         """Counts a request that was sent."""
         self.sent_ms.append(now_ms)
 
-    def on_reply(self, sent_ms: float, now_ms: float) -> None:
-        """Takes the latency of a request that was answered well."""
+    def on_reply(self, sent_ms: float, now_ms: float, ratio: float) -> None:
+        """Ends a request that was answered well.
+
+        Args:
+          sent_ms: Instant at which it was sent.
+          now_ms: Present instant.
+          ratio: Its latency over the expected one of a server of usual speed.
+        """
         self._end(sent_ms)
         self.failures = 0
         self.avoid_until_ms = float("-inf")
-        self._average(now_ms - sent_ms)
+        self._observe(ratio, 0.0, now_ms)
 
-    def on_cancel(self, sent_ms: float, now_ms: float) -> None:
+    def on_cancel(self, sent_ms: float, now_ms: float, ratio: float) -> None:
         """Ends a request that was given up; its age bounds the latency."""
         self._end(sent_ms)
-        age_ms = now_ms - sent_ms
-        if self.latency_ms is None or age_ms > self.latency_ms:
-            self._average(age_ms)
+        if ratio > self._faded(self.slowness, 1.0, now_ms):
+            self._observe(ratio, 0.0, now_ms)
 
     def on_failure(self, sent_ms: float, now_ms: float) -> None:
         """Ends a request that failed; the server is avoided for a time."""
@@ -74,49 +93,68 @@
         pause_ms = FAILURE_PAUSE_MS * 2 ** (self.failures - 1)
         self.avoid_until_ms = now_ms + min(pause_ms, MAX_FAILURE_PAUSE_MS)
 
-    def on_rejected(self, sent_ms: float) -> None:
-        """Ends a request that the server did not run, as it is full."""
+    def on_rejected(self, sent_ms: float, now_ms: float) -> None:
+        """Ends a request that the server did not run."""
         self._end(sent_ms)
+        slowness = self._faded(self.slowness, 1.0, now_ms)
+        self._observe(slowness, 1.0, now_ms)
 
     def on_load(self, running: int, waiting: int, now_ms: float) -> None:
         """Takes a reported load."""
-        self.waiting_load = running + waiting
+        self.load = running + waiting
         self.load_ms = now_ms
 
-    def expected_ms(self, now_ms: float, typical_ms: float) -> float:
+    def busy(self, now_ms: float) -> float:
+        """Returns the requests that run or wait there, as far as known."""
+        age_ms = now_ms - self.load_ms
+        fresh = max(1 - age_ms / LOAD_VALID_MS, 0.0)
+        return max(len(self.sent_ms), self.load * fresh)
+
+    def queue_factor(self, now_ms: float) -> float:
+        """Returns by how much the work before it lengthens a request."""
+        busy = self.busy(now_ms)
+        waiting = max(busy + 1 - self.slots, 0.0)
+        filled = min(busy / self.slots, 1.0)
+        return 1 + waiting / self.slots + FULL_SLOTS_FACTOR * filled
+
+    def expected_ms(self, now_ms: float, base_ms: float) -> float:
         """Returns the expected time of one more request.
 
         Args:
           now_ms: Present instant.
-          typical_ms: Latency of the service's servers in general.
+          base_ms: Time that this kind of request takes on an idle server.
         """
-        latency_ms = self.latency_ms
-        if latency_ms is None:
-            latency_ms = typical_ms
-        busy = len(self.sent_ms)
-        age_ms = now_ms - self.load_ms
-        if age_ms < LOAD_VALID_MS:
-            reported = self.waiting_load * (1 - age_ms / LOAD_VALID_MS)
-            busy = max(busy, reported)
-        queued = max(busy + 1 - self.slots, 0) / self.slots
-        expected_ms = latency_ms * (1 + queued + 0.2 * busy / self.slots)
+        slowness = self._faded(self.slowness, 1.0, now_ms)
         if now_ms < self.cold_until_ms:
-            expected_ms *= 1.5
+            slowness = max(slowness, COLD_FACTOR)
+        expected_ms = base_ms * slowness * self.queue_factor(now_ms)
         if self.sent_ms:
             stands_ms = now_ms - self.sent_ms[0]
-            expected_ms += max(stands_ms - 2 * typical_ms, 0.0) * 3
+            expected_ms += max(stands_ms - 2 * expected_ms, 0.0)
         return expected_ms
 
+    def cost_ms(self, now_ms: float, base_ms: float) -> float:
+        """Returns the expected time with the price of a likely rejection."""
+        rejections = self._faded(self.rejections, 0.0, now_ms)
+        price_ms = REJECTION_COST * base_ms * rejections
+        return self.expected_ms(now_ms, base_ms) + price_ms
+
     def _end(self, sent_ms: float) -> None:
         if sent_ms in self.sent_ms:
             self.sent_ms.remove(sent_ms)
 
-    def _average(self, latency_ms: float) -> None:
-        if self.latency_ms is None:
-            self.latency_ms = latency_ms
-        else:
-            change_ms = latency_ms - self.latency_ms
-            self.latency_ms += LATENCY_WEIGHT * change_ms
+    def _observe(self, ratio: float, rejected: float, now_ms: float) -> None:
+        slowness = self._faded(self.slowness, 1.0, now_ms)
+        rejections = self._faded(self.rejections, 0.0, now_ms)
+        self.slowness = slowness + WEIGHT * (ratio - slowness)
+        self.rejections = rejections + WEIGHT * (rejected - rejections)
+        self.seen_ms = now_ms
+
+    def _faded(self, value: float, rest: float, now_ms: float) -> float:
+        if value == rest:
+            return rest
+        age_ms = now_ms - self.seen_ms
+        return rest + (value - rest) * math.exp(-age_ms / FORGET_MS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,23 +175,32 @@
 
 
 def choose(
-    candidates: abc.Sequence[Candidate], now_ms: float, rng: random.Random
-) -> str | None:
-    """Returns the key of the best candidate; None without candidates."""
-    if not candidates:
-        return None
-    known = sorted(
-        c.server.latency_ms
-        for c in candidates
-        if c.server.latency_ms is not None
-    )
-    typical_ms = known[len(known) // 2] if known else UNKNOWN_LATENCY_MS
-
-    def cost(candidate: Candidate):
-        avoided = now_ms < candidate.server.avoid_until_ms
-        expected_ms = candidate.server.expected_ms(now_ms, typical_ms)
-        jitter = 1 + JITTER * rng.random()
+    candidates: abc.Sequence[Candidate],
+    now_ms: float,
+    base_ms: float,
+    rng: random.Random,
+) -> Candidate | None:
+    """Returns the best candidate; None without candidates.
+
+    Args:
+      candidates: Servers of one service.
+      now_ms: Present instant.
+      base_ms: Time that this kind of request takes on an idle server.
+      rng: Tells equal servers apart.
+    """
+
+    def rank(candidate: Candidate):
+        server = candidate.server
+        avoided = now_ms < server.avoid_until_ms
+        cost_ms = server.cost_ms(now_ms, base_ms)
+        cost_ms *= 1 + JITTER * rng.random()
         doubt = avoided or candidate.is_doubtful
-        return (doubt, expected_ms * jitter + candidate.extra_ms)
+        return (doubt, cost_ms + candidate.extra_ms)
+
+    return min(candidates, key=rank, default=None)
+
 
-    return min(candidates, key=cost).key
+def is_usable(candidate: Candidate, now_ms: float) -> bool:
+    """Whether nothing speaks against a candidate."""
+    avoided = now_ms < candidate.server.avoid_until_ms
+    return not avoided and not candidate.is_doubtful
--- /dev/null
+++ b/auburnway/policy/server_choice_test.py
@@ -0,0 +1,80 @@
+"""Choice among the servers of one service."""
+
+import random
+
+from auburnway.policy import server_choice
+
+BASE_MS = 20.0
+
+
+def candidate(key, server=None, extra_ms=0.0, doubtful=False):
+    server = server or server_choice.Server(slots=3)
+    return server_choice.Candidate(key, server, extra_ms, doubtful)
+
+
+def chosen(candidates, now_ms=1000.0):
+    rng = random.Random(1)
+    picks = [
+        server_choice.choose(candidates, now_ms, BASE_MS, rng).key
+        for _ in range(50)
+    ]
+    return max(set(picks), key=picks.count)
+
+
+def test_none_without_candidates():
+    assert server_choice.choose([], 0.0, BASE_MS, random.Random(1)) is None
+
+
+def test_paused_server_is_avoided_before_any_reply():
+    # A pause of 150 ms shows first by a request that stands too long.
+    paused = server_choice.Server(slots=3)
+    paused.on_send(900.0)
+    pair = [candidate("paused", paused), candidate("other", extra_ms=5.0)]
+    assert chosen(pair) == "other"
+
+
+def test_slow_server_is_avoided_and_tried_again_later():
+    slow = server_choice.Server(slots=3)
+    for i in range(10):
+        slow.on_send(i * 10.0)
+        slow.on_reply(i * 10.0, 1000.0, 8.0)
+    pair = [candidate("slow", slow), candidate("other", extra_ms=5.0)]
+    assert chosen(pair) == "other"
+    assert chosen(pair, 1000.0 + 5 * server_choice.FORGET_MS) == "slow"
+
+
+def test_full_server_is_avoided():
+    full = server_choice.Server(slots=3)
+    full.on_load(3, 4, 1000.0)
+    pair = [candidate("full", full), candidate("other", extra_ms=5.0)]
+    assert chosen(pair) == "other"
+
+
+def test_server_that_rejects_is_avoided():
+    # Health checks pass while more than half of the requests are rejected.
+    shedding = server_choice.Server(slots=3)
+    for _ in range(5):
+        shedding.on_send(990.0)
+        shedding.on_rejected(990.0, 1000.0)
+    pair = [candidate("shedding", shedding), candidate("other", extra_ms=5.0)]
+    assert chosen(pair) == "other"
+
+
+def test_failed_server_is_used_when_no_other_is_left():
+    failed = server_choice.Server(slots=3)
+    failed.on_send(990.0)
+    failed.on_failure(990.0, 1000.0)
+    assert chosen([candidate("failed", failed)]) == "failed"
+    pair = [candidate("failed", failed), candidate("far", extra_ms=5.0)]
+    assert chosen(pair) == "far"
+    assert not server_choice.is_usable(pair[0], 1000.0)
+
+
+def test_queue_is_not_learned_as_slowness():
+    # A latency that the queue explains leaves the slowness at one.
+    server = server_choice.Server(slots=1)
+    server.on_load(1, 3, 1000.0)
+    expected_ms = BASE_MS * server.queue_factor(1000.0)
+    server.on_send(1000.0)
+    server.on_reply(1000.0, 1000.0 + expected_ms, 1.0)
+    assert server.slowness == 1.0
