--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -24,6 +24,7 @@
 from auburnway.policy import hedging
 from auburnway.policy import retry_budget
 from auburnway.policy import server_choice
+from auburnway.policy import shard_admission
 
 # Later than this share of its requests, a sub-request is sent once more.
 HEDGE_QUANTILE_PERCENT = 90.0
@@ -317,15 +318,16 @@
             return False
         return best.server.busy(now_ms) < best.server.slots
 
-    def expected_ms(
+    def shard(
         self, service: str, route: route_table.Route
-    ) -> float | None:
-        """Returns the expected time of a request; None without a server."""
-        best = self._best(service, route, frozenset())
+    ) -> shard_admission.Shard:
+        """Returns what is expected of a service for one more request."""
+        best, now_ms = self._best(service, route, frozenset()), self.now_ms()
         if best is None:
-            return None
-        base_ms = self.base_ms(route)
-        return best.server.expected_ms(self.now_ms(), base_ms)
+            return shard_admission.Shard(None)
+        expected_ms = best.server.expected_ms(now_ms, self.base_ms(route))
+        is_full = best.server.busy(now_ms) >= best.server.slots
+        return shard_admission.Shard(expected_ms, is_full)
 
     def base_ms(self, route: route_table.Route) -> float:
         """Returns the time of a request of a route on an idle server."""
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -159,15 +159,15 @@
         route, now_ms = job.route, self._clock.now_ms()
         target_ms = job.started_ms + route.target_ms
         target_ms -= self._settings.client_delay_ms
-        expected_ms = {
-            shard: self.dispatcher.expected_ms(shard, route)
-            for shard in route.gather.shards
-        }
-        plan = shard_admission.plan(
-            expected_ms, target_ms - now_ms, route.gather.min_coverage
+        shards = shard_admission.plan(
+            {
+                shard: self.dispatcher.shard(shard, route)
+                for shard in route.gather.shards
+            },
+            target_ms - now_ms,
+            route.gather.min_coverage,
         )
-        shards = plan.shards
-        if plan.is_refused:
+        if not shards:
             if not self._prober.is_due(route.name, now_ms):
                 return None
             shards = route.gather.shards
--- a/auburnway/policy/shard_admission.py
+++ b/auburnway/policy/shard_admission.py
@@ -2,10 +2,11 @@
 
 It answers the load in which some shards have lost servers or are slowed, so
 that queues grow there. A query takes a slot of every shard; one that cannot be
-answered in time takes them from others that could. A shard that will not
+answered in time takes them from others that could. A full shard that will not
 answer within the latency objective is left out while the answer may be
 partial, which sheds exactly the shard that lacks room. When too many shards
-lack room the query is refused before it costs anything.
+are full the query is refused before it costs anything. A shard that is slow
+but not full is always asked: a late answer is still an answer.
 """
 
 from collections import abc
@@ -17,43 +18,36 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """What to do with a query.
+class Shard:
+    """What is expected of one shard.
 
     Attributes:
-      shards: Shards to send it to; empty when it is refused.
+      expected_ms: Time until its answer; None where no server is known.
+      is_full: Whether requests wait for a slot on its best server.
     """
 
-    shards: tuple[str, ...]
-
-    @property
-    def is_refused(self) -> bool:
-        """Whether the query is refused."""
-        return not self.shards
+    expected_ms: float | None
+    is_full: bool = False
 
 
 def plan(
-    expected_ms: abc.Mapping[str, float | None],
-    left_ms: float,
-    min_coverage: float,
-) -> Plan:
-    """Plans one query.
+    shards: abc.Mapping[str, Shard], left_ms: float, min_coverage: float
+) -> tuple[str, ...]:
+    """Returns the shards to send a query to; none when it is refused.
 
     Args:
-      expected_ms: Expected time of each shard; None where no server is known.
+      shards: What is expected of each shard.
       left_ms: Time to the latency objective.
       min_coverage: Least share of the shards that makes an answer.
     """
-    shards = tuple(expected_ms)
-    late = {
-        shard
-        for shard, time_ms in expected_ms.items()
-        if time_ms is None or time_ms > left_ms
-    }
-    kept = tuple(shard for shard in shards if shard not in late)
-    if len(kept) + 1e-9 < min_coverage * len(shards) or not kept:
-        return Plan(())
-    return Plan(kept)
+    chosen = tuple(
+        name
+        for name, shard in shards.items()
+        if shard.expected_ms is not None
+        and (not shard.is_full or shard.expected_ms <= left_ms)
+    )
+    is_enough = len(chosen) + 1e-9 >= min_coverage * len(shards)
+    return chosen if is_enough else ()
 
 
 class Prober:
