--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -39,6 +39,12 @@
 # Part of the retry budget that is used. Entries do not see each other's
 # sends, and windows of different entries do not start together.
 BUDGET_USE = 0.7
+# Entries that are assumed to share the budget while the list is not known, as
+# after a restart of everything.
+UNKNOWN_ENTRIES = 16
+# A send that stands for this many times its expected time is repeated even if
+# the percentile is longer: slow servers raise the percentile, too.
+HEDGE_FACTOR = 2.5
 # A request that may run once only uses a connection that was in use this
 # short a time ago, or a new one: a close that crosses the request would leave
 # its outcome unknown.
@@ -111,6 +117,18 @@
         """Whether a backend server may have begun to work on it."""
         return self._rules.may_have_run
 
+    @property
+    def state(self) -> str:
+        """What is known of it, for logs: its outcome, or where it waits."""
+        if self.outcome is not None:
+            return self.outcome.value
+        now_ms = self._dispatcher.now_ms()
+        return ", ".join(
+            f"{send.row.server_id} for {now_ms - send.sent_ms:.0f} ms"
+            for send in self._sends
+            if not send.is_done
+        )
+
     def start(self) -> None:
         """Sends the request for the first time."""
         self._dispatcher.budget(self.service).on_sub_request()
@@ -152,7 +170,10 @@
     def _set_hedge(self) -> None:
         if self._timer is not None or not self._job.route.is_repeatable:
             return
-        delay_ms = self._dispatcher.hedge_delay_ms(self._job.route)
+        delay_ms = min(
+            self._dispatcher.hedge_delay_ms(self._job.route),
+            HEDGE_FACTOR * self._sends[0].expected_ms,
+        )
         self._timer = self._dispatcher.timers.after(delay_ms, self._hedge)
 
     def _hedge(self) -> None:
@@ -282,15 +303,16 @@
     def budget(self, service: str) -> retry_budget.Budget:
         """Returns the budget for extra sends to a service."""
         budget = self._budgets.get(service)
+        entries = len(self._feed.entries()) or UNKNOWN_ENTRIES
+        burst = max(BUDGET_USE * self._settings.retry_slack / entries, 1.0)
         if budget is None:
-            entries = max(len(self._feed.entries()), 1)
-            burst = BUDGET_USE * self._settings.retry_slack / entries
             budget = self._budgets[service] = retry_budget.Budget(
                 BUDGET_USE * self._settings.retry_share,
-                max(burst, 1.0),
+                burst,
                 reserve=burst / 4,
-                tokens=burst,
+                tokens=burst / 2,
             )
+        budget.set_burst(burst)
         return budget
 
     def seen(self, row: server_table.Row) -> server_choice.Server:
--- a/auburnway/gateway/job.py
+++ b/auburnway/gateway/job.py
@@ -45,6 +45,7 @@
       body: Body.
       reason: Short name of the cause, for logs and metrics.
       coverage: Share of the shards that are in; 1 for a single service.
+      missing: Shards that are not in, each with what is known of it.
     """
 
     status: int
@@ -52,6 +53,7 @@
     body: bytes = b""
     reason: str = "ok"
     coverage: float = 1.0
+    missing: tuple[str, ...] = ()
 
 
 OnAnswer = abc.Callable[[Answer], None]
@@ -259,28 +261,42 @@
     def _on_deadline(self) -> None:
         self._finish("timed_out")
 
+    def _missing(self) -> tuple[str, ...]:
+        """Returns the shards that are not in, each with its state."""
+        states = {shard: "not asked" for shard in self._gather.shards}
+        for leg in self._legs:
+            states[leg.service] = leg.state
+        return tuple(
+            f"{shard}: {state}"
+            for shard, state in states.items()
+            if shard not in self._parts
+        )
+
     def _finish(self, reason: str) -> None:
         may_have_run = any(leg.may_have_run for leg in self._legs)
+        missing = self._missing()
         self.cancel()
         if not self._has_enough:
             if may_have_run:
                 status = 504 if reason == "timed_out" else 502
-                self._on_answer(refusal(status, reason))
+                answer = refusal(status, reason)
             else:
                 answer = _without_reply(
                     self._job.route, False, "no_backend_server"
                 )
-                self._on_answer(answer)
+            answer = dataclasses.replace(
+                answer, coverage=self._coverage, missing=missing
+            )
+            self._on_answer(answer)
             return
         legs = tuple(self._parts.values())
-        missing = len(self._gather.shards) - len(legs)
         headers = (
             (self._dialect.request_id, self._job.request_id),
             (
                 self._dialect.part_signatures,
                 b", ".join(map(self._signature, legs)),
             ),
-            (self._dialect.missing_parts, b"%d" % missing),
+            (self._dialect.missing_parts, b"%d" % len(missing)),
             (b"Content-Type", b"application/octet-stream"),
         )
         body = merge.top_records(
@@ -293,5 +309,6 @@
                 body,
                 "partial" if missing else "ok",
                 self._coverage,
+                missing,
             )
         )
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -242,16 +242,18 @@
         answer: job_lib.Answer,
     ) -> None:
         request.reply(answer.status, answer.headers, answer.body)
-        if answer.reason == "ok":
-            return
         took_ms = self._clock.now_ms() - request.received_ms
+        is_late = job is not None and took_ms > job.route.target_ms
+        if answer.reason == "ok" and not is_late:
+            return
         request_id = request.fields.get(self._dialect.request_id.lower(), b"")
         loguru.logger.bind(
             request=request_id.decode("latin-1"),
             route=job.route.name if job is not None else "",
             status=answer.status,
-            reason=answer.reason,
+            reason="late" if answer.reason == "ok" else answer.reason,
             coverage=round(answer.coverage, 3),
+            missing=answer.missing,
             took_ms=round(took_ms, 1),
             revision=self.feed.revision,
         ).info("request was not answered in full")
--- a/auburnway/net/stream.py
+++ b/auburnway/net/stream.py
@@ -27,7 +27,7 @@
 # Five heartbeats; a stream that is silent for longer is closed.
 SILENCE_MS = 2000.0
 CONNECT_TIMEOUT_MS = 800.0
-REDIAL_MS = 300.0
+REDIAL_MS = 100.0
 BACKLOG = 128
 
 _LENGTH = struct.Struct(">I")
--- a/auburnway/policy/retry_budget.py
+++ b/auburnway/policy/retry_budget.py
@@ -75,6 +75,11 @@
             return False
         return self.try_spend(now_ms)
 
+    def set_burst(self, burst: float) -> None:
+        """Changes the greatest number of tokens kept."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def set_overloaded(self, is_overloaded: bool) -> None:
         """Stops or resumes earning; true while admission queues."""
         self._is_overloaded = is_overloaded
--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -18,7 +18,7 @@
 # Weight of a new observation in the moving averages.
 WEIGHT = 0.2
 # What was observed counts for less as it ages, with this time constant.
-FORGET_MS = 2_000.0
+FORGET_MS = 4_000.0
 # A reported load is worth nothing any more after this time.
 LOAD_VALID_MS = 400.0
 # A server that failed is avoided for this long; doubled with each further
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -35,6 +35,11 @@
 # Entries need about this long to connect after a start of all processes; an
 # earlier list would leave most of them out.
 FIRST_LIST_MS = 1500.0
+# After a start of all processes nothing is served before the first election.
+# These instances are few and near each other, so it can be quick.
+RAFT_HEARTBEAT_MS = 75.0
+ELECTION_MIN_MS = 300.0
+ELECTION_MAX_MS = 600.0
 
 
 class NotAvailable(errors.Error):
@@ -161,6 +166,9 @@
             self._ask_to_join,
             raft_records.Config(
                 identity.incarnation,
+                RAFT_HEARTBEAT_MS,
+                ELECTION_MIN_MS,
+                ELECTION_MAX_MS,
                 remove_silent_ms=settings.remove_silent_ms,
             ),
         )
