Serve sooner after a loss of all processes

The log shows 0.7 s from the entry's start to a configuration in force (election), and no backend server known until its next heartbeat.

Change: an instance that has not heard a leader yet asks for pre-votes within 0.2 s; control keeps a copy of the table of backend servers on its disk; a stopping entry ends once clients have had time to leave and nothing is open.

--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -254,9 +254,13 @@
             self.role = records.Role.FOLLOWER
 
     def _reset_election(self) -> None:
-        self._election_due_ms = self._clock.now_ms() + self._rng.uniform(
-            self.config.election_min_ms, self.config.election_max_ms
-        )
+        low_ms = self.config.election_min_ms
+        high_ms = self.config.election_max_ms
+        first_ms = self.config.first_election_max_ms
+        if first_ms is not None and self._heard_ms == float("-inf"):
+            low_ms, high_ms = first_ms / 3, first_ms
+        wait_ms = self._rng.uniform(low_ms, high_ms)
+        self._election_due_ms = self._clock.now_ms() + wait_ms
 
     def _campaign(self, pre_vote: bool, transfer: bool = False) -> None:
         self._become_follower("")
--- a/auburnway/core/raft_records.py
+++ b/auburnway/core/raft_records.py
@@ -252,6 +252,9 @@
       election_min_ms: Least time without a leader before an election. A node
         that heard its leader within it ignores other candidates.
       election_max_ms: Greatest such time.
+      first_election_max_ms: Greatest time before an election while this
+        process has not heard a leader yet, as after a start of all; None for
+        the usual times. A pre-vote disturbs no leader that others hear.
       remove_silent_ms: The leader removes a voter that it has not heard for
         this long; None never does. The removed node joins again when it is
         back.
@@ -262,5 +265,6 @@
     heartbeat_ms: float = HEARTBEAT_MS
     election_min_ms: float = ELECTION_MIN_MS
     election_max_ms: float = ELECTION_MAX_MS
+    first_election_max_ms: float | None = None
     remove_silent_ms: float | None = None
     least_voters: int = 3
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -349,7 +349,8 @@
             return shard_admission.Shard(None)
         expected_ms = best.server.expected_ms(now_ms, self.base_ms(route))
         is_full = best.server.busy(now_ms) >= best.server.slots
-        return shard_admission.Shard(expected_ms, is_full)
+        is_usable = server_choice.is_usable(best, now_ms)
+        return shard_admission.Shard(expected_ms, is_full, not is_usable)
 
     def base_ms(self, route: route_table.Route) -> float:
         """Returns the time of a request of a route on an idle server."""
--- a/auburnway/gateway/job.py
+++ b/auburnway/gateway/job.py
@@ -263,7 +263,7 @@
 
     def _missing(self) -> tuple[str, ...]:
         """Returns the shards that are not in, each with its state."""
-        states = {shard: "not asked" for shard in self._gather.shards}
+        states = dict.fromkeys(self._gather.shards, "not asked")
         for leg in self._legs:
             states[leg.service] = leg.state
         return tuple(
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -20,7 +20,7 @@
 # From SIGTERM on: when new requests are refused, as they might not end in
 # time, and when the process ends whatever is left; parts of the grace time.
 REFUSE_SHARE = 0.45
-END_SHARE = 0.95
+END_SHARE = 0.9
 DRAIN_CHECK_MS = 100.0
 
 
@@ -103,7 +103,7 @@
         grace_ms = self._settings.grace_ms
         since_ms = self._clock.now_ms() - self._stopping_ms
         kept_ms = 3 * self._settings.address_ttl_ms
-        is_idle = not self.front.connections
+        is_idle = self.front.busy_count == 0
         if since_ms > kept_ms and is_idle or since_ms > END_SHARE * grace_ms:
             loguru.logger.bind(open=self.front.busy_count).info("stopped")
             self._loop.stop()
@@ -165,6 +165,7 @@
                 for shard in route.gather.shards
             },
             target_ms - now_ms,
+            job.deadline_ms - now_ms,
             route.gather.min_coverage,
         )
         if not shards:
--- a/auburnway/platform/calls.py
+++ b/auburnway/platform/control_calls.py
@@ -1,4 +1,4 @@
-"""The platform's calls: operators, backend servers, directory, readiness."""
+"""The platform's calls of operators and backend servers."""
 
 import re
 import urllib.parse
@@ -8,10 +8,9 @@
 from returns import result
 
 from auburnway.core import errors
-from auburnway.gateway import node as gateway_node
 from auburnway.net import web_server
 from auburnway.platform import documents
-from auburnway.registrar import node as registrar_node
+from auburnway.registrar import node as node_lib
 from auburnway.registrar import revision_machine
 
 _JSON = ((b"Content-Type", b"application/json"),)
@@ -33,7 +32,7 @@
       port: Port at which every control instance serves them.
     """
 
-    def __init__(self, node: registrar_node.Node, port: int):
+    def __init__(self, node: node_lib.Node, port: int):
         self._node = node
         self._port = port
 
@@ -90,35 +89,9 @@
             self._reply_failure(request, reply.failure())
 
     def _reply_failure(self, request, error: errors.Error) -> None:
-        if isinstance(error, registrar_node.SeeLeader):
+        if isinstance(error, node_lib.SeeLeader):
             place = f"http://{error.detail}:{self._port}".encode()
             headers = (*_JSON, (b"Location", place + request.target))
             request.reply(error.http_status, headers, b"{}")
         else:
             _reply_error(request, (error,))
-
-
-class EntryCalls:
-    """Directory for clients, and readiness for the platform."""
-
-    def __init__(self, node: gateway_node.Node, ttl_ms: float):
-        self._node = node
-        self._ttl_s = ttl_ms / 1000.0
-
-    def on_directory(self, request: web_server.Request) -> None:
-        """Tells a client which entries to use."""
-        if request.path != b"/auburnway/resolve":
-            request.reply(404, _JSON, b"{}")
-            return
-        query = request.target.partition(b"?")[2].decode("latin-1")
-        zone = urllib.parse.parse_qs(query).get("Zone", [""])[0]
-        addresses = self._node.addresses(zone)
-        if not addresses:
-            request.reply(503, _JSON, b"{}")
-            return
-        body = {"addrs": addresses, "ttl_s": self._ttl_s}
-        request.reply(200, _JSON, orjson.dumps(body))
-
-    def on_readiness(self, request: web_server.Request) -> None:
-        """Tells the platform whether clients should be sent here."""
-        request.reply(200 if self._node.is_ready else 503, _JSON, b"{}")
--- /dev/null
+++ b/auburnway/platform/entry_calls.py
@@ -0,0 +1,36 @@
+"""The platform's calls of clients and its own checks: which entries to use."""
+
+import urllib.parse
+
+import orjson
+
+from auburnway.gateway import node as node_lib
+from auburnway.net import web_server
+
+_JSON = ((b"Content-Type", b"application/json"),)
+
+
+class EntryCalls:
+    """Directory for clients, and readiness for the platform."""
+
+    def __init__(self, node: node_lib.Node, ttl_ms: float):
+        self._node = node
+        self._ttl_s = ttl_ms / 1000.0
+
+    def on_directory(self, request: web_server.Request) -> None:
+        """Tells a client which entries to use."""
+        if request.path != b"/auburnway/resolve":
+            request.reply(404, _JSON, b"{}")
+            return
+        query = request.target.partition(b"?")[2].decode("latin-1")
+        zone = urllib.parse.parse_qs(query).get("Zone", [""])[0]
+        addresses = self._node.addresses(zone)
+        if not addresses:
+            request.reply(503, _JSON, b"{}")
+            return
+        body = {"addrs": addresses, "ttl_s": self._ttl_s}
+        request.reply(200, _JSON, orjson.dumps(body))
+
+    def on_readiness(self, request: web_server.Request) -> None:
+        """Tells the platform whether clients should be sent here."""
+        request.reply(200 if self._node.is_ready else 503, _JSON, b"{}")
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -45,8 +45,8 @@
     from auburnway.gateway import node as node_lib
     from auburnway.gateway import settings as settings_lib
     from auburnway.net import web_server
-    from auburnway.platform import calls
     from auburnway.platform import documents
+    from auburnway.platform import entry_calls as calls
 
     settings = process.load_settings(settings_lib.Settings, options.settings)
     logs.set_up(settings.name, options.log_level)
@@ -71,7 +71,7 @@
 def _run_control(options: argparse.Namespace) -> int:
     from auburnway.net import socket_set
     from auburnway.net import web_server
-    from auburnway.platform import calls
+    from auburnway.platform import control_calls as calls
     from auburnway.registrar import node as node_lib
     from auburnway.registrar import settings as settings_lib
     from auburnway.storage import disk as disk_lib
@@ -90,7 +90,7 @@
         return fault.error.exit_code
     sockets = socket_set.SocketSet(loop.poller).register(loop.root)
     loop.stack.callback(sockets.close)
-    node = node_lib.Node(settings, identity, store, loop, sockets)
+    node = node_lib.Node(settings, identity, store, loop, sockets, disk)
     node.consensus.register(loop.root)
     port = int(settings.public_address.rpartition(":")[2])
     server = web_server.WebServer(
--- a/auburnway/policy/shard_admission.py
+++ b/auburnway/policy/shard_admission.py
@@ -2,11 +2,14 @@
 
 It answers the load in which some shards have lost servers or are slowed, so
 that queues grow there. A query takes a slot of every shard; one that cannot be
-answered in time takes them from others that could. A full shard that will not
-answer within the latency objective is left out while the answer may be
-partial, which sheds exactly the shard that lacks room. When too many shards
-are full the query is refused before it costs anything. A shard that is slow
-but not full is always asked: a late answer is still an answer.
+answered in time takes them from others that could.
+
+- A full shard that will not answer within the latency objective is left out
+  while the answer may be partial. This sheds exactly the shard that lacks room.
+- When that leaves too few, as beside a shard without a working server, full
+  shards are asked as long as their queues end well before the deadline: a late
+  answer is still an answer.
+- Otherwise the query is refused before it costs anything.
 """
 
 from collections import abc
@@ -17,6 +20,11 @@
 PROBE_MS = 100.0
 
 
+# Part of the time left within which a full shard must be expected to answer.
+# The rest covers what the estimate cannot know, such as other entries' sends.
+FULL_SHARE = 0.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shard:
     """What is expected of one shard.
@@ -24,30 +32,48 @@
     Attributes:
       expected_ms: Time until its answer; None where no server is known.
       is_full: Whether requests wait for a slot on its best server.
+      is_doubtful: Whether all its servers failed a short time ago.
     """
 
     expected_ms: float | None
     is_full: bool = False
+    is_doubtful: bool = False
 
 
 def plan(
-    shards: abc.Mapping[str, Shard], left_ms: float, min_coverage: float
+    shards: abc.Mapping[str, Shard],
+    target_ms: float,
+    deadline_ms: float,
+    min_coverage: float,
 ) -> tuple[str, ...]:
     """Returns the shards to send a query to; none when it is refused.
 
     Args:
       shards: What is expected of each shard.
-      left_ms: Time to the latency objective.
+      target_ms: Time left to the latency objective.
+      deadline_ms: Time left to the deadline.
       min_coverage: Least share of the shards that makes an answer.
     """
-    chosen = tuple(
-        name
-        for name, shard in shards.items()
-        if shard.expected_ms is not None
-        and (not shard.is_full or shard.expected_ms <= left_ms)
-    )
-    is_enough = len(chosen) + 1e-9 >= min_coverage * len(shards)
-    return chosen if is_enough else ()
+    known = {n: s for n, s in shards.items() if s.expected_ms is not None}
+    doubtful = [n for n, s in known.items() if s.is_doubtful]
+    full = [
+        n
+        for n, s in known.items()
+        if s.is_full and s.expected_ms > target_ms and not s.is_doubtful
+    ]
+    chosen = set(known) - set(doubtful) - set(full)
+    wanted = min_coverage * len(shards) - 1e-9
+    for name in sorted(full, key=lambda n: known[n].expected_ms):
+        in_time = known[name].expected_ms <= FULL_SHARE * deadline_ms
+        if len(chosen) < wanted and in_time:
+            chosen.add(name)
+    is_left_out = any(name not in chosen for name in full)
+    hoped = len(chosen) + (0 if is_left_out else len(doubtful))
+    if hoped < wanted:
+        return ()
+    # Servers that failed are asked, too: that is how their return is noticed.
+    chosen.update(doubtful)
+    return tuple(name for name in shards if name in chosen)
 
 
 class Prober:
--- a/auburnway/policy/shard_admission_test.py
+++ b/auburnway/policy/shard_admission_test.py
@@ -3,13 +3,32 @@
 from auburnway.policy import shard_admission
 
 
-def plan(slow=0, full=0, none=0, count=10, min_coverage=0.89):
+def plan(slow=0, full=0, none=0, dead=0, queued=0, min_coverage=0.89, count=10):
     shard = shard_admission.Shard
-    shards = [shard(500.0)] * slow + [shard(500.0, True)] * full
-    shards += [shard(None)] * none
+    shards = [shard(300.0)] * slow + [shard(900.0, True)] * full
+    shards += [shard(None)] * none + [shard(50.0, False, True)] * dead
+    shards += [shard(300.0, True)] * queued
     shards += [shard(50.0)] * (count - len(shards))
     named = {f"s{i}": shard for i, shard in enumerate(shards)}
-    return shard_admission.plan(named, 100.0, min_coverage)
+    return shard_admission.plan(named, 100.0, 1000.0, min_coverage)
+
+
+def test_full_shard_is_asked_when_another_is_dead():
+    # The dead shard's servers are known but fail; leaving out a full shard
+    # beside it once made half of the queries fail.
+    assert len(plan(dead=1, queued=1)) == 10
+    assert len(plan(none=1, queued=1)) == 9
+
+
+def test_query_is_refused_when_the_queue_would_outlast_it():
+    assert plan(none=1, full=1) == ()
+    assert plan(dead=1, full=1) == ()
+
+
+def test_dead_shard_is_asked_beside_enough_others():
+    # That is how the return of its servers is noticed.
+    assert len(plan(dead=1)) == 10
+    assert len(plan(dead=10)) == 10
 
 
 def test_all_shards_when_all_have_room():
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -27,6 +27,7 @@
 from auburnway.registrar import messages
 from auburnway.registrar import revision_machine
 from auburnway.registrar import settings as settings_lib
+from auburnway.registrar import table_file
 from auburnway.storage import disk as disk_lib
 
 # A server that missed this many heartbeats counts as silent here.
@@ -40,6 +41,9 @@
 RAFT_HEARTBEAT_MS = 75.0
 ELECTION_MIN_MS = 300.0
 ELECTION_MAX_MS = 600.0
+FIRST_ELECTION_MAX_MS = 200.0
+# Least time between two saves of the table of backend servers.
+SAVE_MS = 1_000.0
 
 
 class NotAvailable(errors.Error):
@@ -133,6 +137,7 @@
       store: Open data folder.
       loop: Loop that runs this node.
       sockets: Set that watches the streams.
+      disk: The data folder; it keeps a copy of the table.
     """
 
     def __init__(
@@ -142,6 +147,7 @@
         store: store_lib.Store,
         loop: process.Loop,
         sockets: socket_set.SocketSet,
+        disk: disk_lib.Disk,
     ):
         self.address = f"{settings.ip}:{settings.internal_port}"
         self.table = server_table.Table()
@@ -169,6 +175,7 @@
                 RAFT_HEARTBEAT_MS,
                 ELECTION_MIN_MS,
                 ELECTION_MAX_MS,
+                FIRST_ELECTION_MAX_MS,
                 remove_silent_ms=settings.remove_silent_ms,
             ),
         )
@@ -184,7 +191,11 @@
         loop.stack.callback(self._listener.close)
         loop.stack.callback(self._close_dialers)
         self._sync_dialers()
+        self._saver = table_file.Saver(disk, loop.stack)
+        for row in table_file.load(disk):
+            self.table.put(row, self._started_ms)
         loop.timers.every(TICK_MS, self._tick)
+        loop.timers.every(SAVE_MS, self._save)
 
     # Operators.
 
@@ -445,6 +456,9 @@
         self._push_entries()
         self._sync_dialers()
 
+    def _save(self) -> None:
+        self._saver.save(self.table.rows())
+
     def _control_addresses(self) -> tuple[str, ...]:
         members = {m.address for m in self.consensus.raft.members}
         return tuple(sorted(members or internal_addresses(self._settings)))
--- /dev/null
+++ b/auburnway/registrar/table_file_test.py
@@ -0,0 +1,39 @@
+"""The copy of the table of backend servers on disk."""
+
+import contextlib
+
+from auburnway.core import server_table
+from auburnway.registrar import table_file
+from auburnway.storage import disk as disk_lib
+
+ROW = server_table.Row(
+    "i-1", 100, 1, "s", "10.0.0.1:80", "a", 3, server_table.State.READY
+)
+
+
+def saved(disk, *rows):
+    with contextlib.ExitStack() as stack:
+        saver = table_file.Saver(disk, stack)
+        saver.save(rows)
+        saver._job.result()
+
+
+def test_rows_come_back(tmp_path):
+    # After a loss of all processes the servers must be known at once.
+    disk = disk_lib.FolderDisk(tmp_path)
+    assert table_file.load(disk) == ()
+    saved(disk, ROW)
+    assert table_file.load(disk) == (ROW,)
+
+
+def test_damaged_copy_is_ignored(tmp_path):
+    disk = disk_lib.FolderDisk(tmp_path)
+    saved(disk, ROW)
+    path = tmp_path / table_file.FILE
+    path.write_bytes(path.read_bytes()[:-3])
+    assert table_file.load(disk) == ()
+
+
+def test_full_disk_is_no_fault_of_the_process(tmp_path):
+    disk = disk_lib.FolderDisk(tmp_path / "absent")
+    saved(disk, ROW)
