--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -38,8 +38,8 @@
 BURST_USE = 0.6
 REFILL_USE = 0.2
 BUDGET_WINDOW_S = 10.0
-# Entries that are assumed to share the budget while the list is not known, as
-# after a restart of everything.
+# Entries that are assumed to share budget and connections while the list is
+# not known, as after a restart of everything.
 UNKNOWN_ENTRIES = 16
 # A send that stands for this many times its expected time is repeated, or
 # sooner if the copy would otherwise miss the latency objective. Earlier copies
@@ -391,7 +391,7 @@
         )
 
     def _connection_limit(self, service: str) -> int:
-        entries = len(self._feed.entries())
+        entries = len(self._feed.entries()) or UNKNOWN_ENTRIES
         return max(self._limits.get(service, 1) // (entries + 1), 1)
 
     def payload(self, job: Job, row: server_table.Row, now_ms: float) -> bytes:
--- a/auburnway/net/stream.py
+++ b/auburnway/net/stream.py
@@ -26,7 +26,9 @@
 HEARTBEAT_MS = 400.0
 # Five heartbeats; a stream that is silent for longer is closed.
 SILENCE_MS = 2000.0
-CONNECT_TIMEOUT_MS = 800.0
+# An opening packet that was sent before the peer had power is lost, and the
+# kernel sends it again only after a second.
+CONNECT_TIMEOUT_MS = 250.0
 REDIAL_MS = 100.0
 BACKLOG = 128
 
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -49,7 +49,7 @@
     from auburnway.platform import entry_calls as calls
 
     settings = process.load_settings(settings_lib.Settings, options.settings)
-    logs.set_up(settings.name, options.log_level)
+    logs.set_up(settings.name, options.log_level, sys.stdout)
     loop = process.Loop(clock_lib.SystemClock())
     node = node_lib.Node(settings, documents.DIALECT, loop)
     entry_calls = calls.EntryCalls(node, settings.address_ttl_ms)
@@ -77,7 +77,7 @@
     from auburnway.storage import disk as disk_lib
 
     settings = process.load_settings(settings_lib.Settings, options.settings)
-    logs.set_up(settings.name, options.log_level)
+    logs.set_up(settings.name, options.log_level, sys.stdout)
     loop = process.Loop(clock_lib.SystemClock())
     try:
         folder = pathlib.Path(settings.data_folder)
