Wait for a connection, and serve metrics

Change: a send waits for one of the entry's connections; eight entries are assumed; the first list comes after 0.5 s. Metrics by OpenTelemetry on the metrics address, loaded only when one is set. SIGHUP is logged.

--- a/auburnway/admin/reference.py
+++ b/auburnway/admin/reference.py
@@ -22,14 +22,18 @@
 from auburnway.core import note_items
 from auburnway.demo import site
 from auburnway.entry import settings as entry_settings
+from auburnway.gateway import settings as gateway_settings
 from auburnway.load import bench_settings
 from auburnway.load import scenario
+from auburnway.registrar import settings as registrar_settings
 from auburnway.standin import settings as standin_settings
 
 # Settings classes by binary; each binary that reads settings adds its own.
 SETTINGS: tuple[tuple[str, type], ...] = (
     ("auburnway-entry", entry_settings.EntrySettings),
     ("auburnway-control", control_main.Settings),
+    ("auburnway-platform entry", gateway_settings.Settings),
+    ("auburnway-platform control", registrar_settings.Settings),
     ("auburnway-operator", settings_lib.OperatorSettings),
     ("auburnway-demo", site.Site),
     ("auburnway-standin", standin_settings.Settings),
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -40,7 +40,7 @@
 BUDGET_WINDOW_S = 10.0
 # Entries that are assumed to share budget and connections while the list is
 # not known, as after a restart of everything.
-UNKNOWN_ENTRIES = 16
+UNKNOWN_ENTRIES = 8
 # A send that stands for this many times its expected time is repeated, or
 # sooner if the copy would otherwise miss the latency objective. Earlier copies
 # would spend the budget on requests that are about to be answered.
@@ -49,6 +49,9 @@
 COPY_FACTOR = 2.0
 # A hedge that found no free server or no budget is tried again after it.
 HEDGE_RECHECK_MS = 10.0
+# When all connections that this entry may have are in use, one is looked for
+# again after it.
+CONNECTION_RECHECK_MS = 5.0
 # A request that may run once only uses a connection that was in use this
 # short a time ago, or a new one: a close that crosses the request would leave
 # its outcome unknown.
@@ -153,6 +156,12 @@
             if not self._pending():
                 self._end_without_reply()
             return
+        if not dispatcher.pool.has_capacity(row.address):
+            if not self._pending():
+                self._timer = dispatcher.timers.after(
+                    CONNECTION_RECHECK_MS, self._send_if_open
+                )
+            return
         seen = dispatcher.seen(row)
         base_ms = dispatcher.base_ms(self._job.route)
         send = _Send(row, now_ms, base_ms * seen.queue_factor(now_ms))
@@ -170,6 +179,11 @@
         if self.outcome is None and not send.is_done:
             self._set_hedge()
 
+    def _send_if_open(self) -> None:
+        self._timer = None
+        if self.outcome is None:
+            self._send()
+
     def _tried(self) -> set[str]:
         return {send.row.server_id for send in self._sends}
 
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -1,5 +1,6 @@
 """An entry of the pass-through tier: wires its parts together."""
 
+from collections import abc
 import random
 
 import loguru
@@ -46,6 +47,8 @@
         self._matcher: route_table.Matcher | None = None
         self._splits: dict[str, list[float]] = {}
         self._stopping_ms: float | None = None
+        # Called with rank, status, reason and time in ms of each answer.
+        self.on_answer: abc.Callable[[int, int, str, float], None] | None = None
         self._prober = shard_admission.Prober()
         self._rng = random.Random(settings.name)
         self.sockets = socket_set.SocketSet(loop.poller).register(loop.root)
@@ -246,14 +249,18 @@
         request.reply(answer.status, answer.headers, answer.body)
         took_ms = self._clock.now_ms() - request.received_ms
         is_late = job is not None and took_ms > job.route.target_ms
-        if answer.reason == "ok" and not is_late:
+        reason = "late" if is_late and answer.reason == "ok" else answer.reason
+        if self.on_answer is not None:
+            rank = job.route.rank if job is not None else -1
+            self.on_answer(rank, answer.status, reason, took_ms)
+        if reason == "ok":
             return
         request_id = request.fields.get(self._dialect.request_id.lower(), b"")
         loguru.logger.bind(
             request=request_id.decode("latin-1"),
             route=job.route.name if job is not None else "",
             status=answer.status,
-            reason="late" if answer.reason == "ok" else answer.reason,
+            reason=reason,
             coverage=round(answer.coverage, 3),
             missing=answer.missing,
             took_ms=round(took_ms, 1),
--- /dev/null
+++ b/auburnway/gateway/telemetry.py
@@ -0,0 +1,80 @@
+"""Metrics of an entry, recorded only when an address for them is set.
+
+The library takes about as long to import as all the rest of the entry, so a
+deployment without a scraper does not load it.
+"""
+
+import typing
+
+from auburnway.kernel import metrics as metrics_lib
+
+if typing.TYPE_CHECKING:
+    from auburnway.gateway import node as node_lib
+
+
+class Telemetry:
+    """Instruments of one entry.
+
+    Args:
+      node: Entry whose state the gauges show.
+      dropped_lines: Returns the number of dropped log lines.
+    """
+
+    def __init__(self, node: "node_lib.Node", dropped_lines):
+        self._metrics = metrics_lib.Metrics("entry")
+        self._answers = self._metrics.counter(
+            "answers", "Answers by rank, status and reason."
+        )
+        self._durations = self._metrics.duration(
+            "request", "Time from the whole request to its answer."
+        )
+        gauge = self._metrics.gauge
+        gauge(
+            "configuration.revision",
+            "Revision in force; -1 before the first.",
+            lambda: [(node.feed.revision, {})],
+        )
+        gauge(
+            "control.streams",
+            "Control instances that are connected.",
+            lambda: [(node.feed.control_count, {})],
+        )
+        gauge(
+            "backend.servers",
+            "Known backend servers, ended ones included.",
+            lambda: [(len(node.feed.table), {})],
+        )
+        gauge(
+            "backend.connections",
+            "Open connections to backend servers.",
+            lambda: [(node.dispatcher.pool.connection_count(), {})],
+        )
+        gauge(
+            "extra.sends",
+            "Hedges, denied hedges and retries since the start.",
+            lambda: [
+                (count, {"kind": kind})
+                for kind, count in node.dispatcher.counts.items()
+            ],
+        )
+        gauge(
+            "log.dropped_lines",
+            "Log lines dropped since the start.",
+            lambda: [(dropped_lines(), {})],
+        )
+
+    def on_answer(
+        self, rank: int, status: int, reason: str, took_ms: float
+    ) -> None:
+        """Records one answer to a client; `reason` is one of a fixed set."""
+        attributes = {"rank": rank, "status": status, "reason": reason}
+        self._answers.add(1, attributes)
+        self._durations.record(took_ms / 1000.0, {"rank": rank})
+
+    def text(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        return self._metrics.text()
+
+    def close(self) -> None:
+        """Shuts the provider down."""
+        self._metrics.close()
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -49,7 +49,7 @@
     from auburnway.platform import entry_calls as calls
 
     settings = process.load_settings(settings_lib.Settings, options.settings)
-    logs.set_up(settings.name, options.log_level, sys.stdout)
+    writer = logs.set_up(settings.name, options.log_level, sys.stdout)
     loop = process.Loop(clock_lib.SystemClock())
     node = node_lib.Node(settings, documents.DIALECT, loop)
     entry_calls = calls.EntryCalls(node, settings.address_ttl_ms)
@@ -62,7 +62,14 @@
                 address, node.sockets, loop.timers, loop.clock, on_request
             )
             loop.stack.callback(server.close)
+    if settings.metrics_address:
+        from auburnway.gateway import telemetry as telemetry_lib
+
+        telemetry = telemetry_lib.Telemetry(node, lambda: writer.dropped_count)
+        node.on_answer = telemetry.on_answer
+        _serve_metrics(settings.metrics_address, telemetry, loop, node.sockets)
     loop.on_stop = node.stop
+    loop.on_reload = _log_reload
     loguru.logger.bind(address=settings.client_address).info("entry runs")
     loop.run()
     return 0
@@ -77,7 +84,7 @@
     from auburnway.storage import disk as disk_lib
 
     settings = process.load_settings(settings_lib.Settings, options.settings)
-    logs.set_up(settings.name, options.log_level, sys.stdout)
+    writer = logs.set_up(settings.name, options.log_level, sys.stdout)
     loop = process.Loop(clock_lib.SystemClock())
     try:
         folder = pathlib.Path(settings.data_folder)
@@ -102,7 +109,13 @@
         web_server.Limits(body_bytes=settings.body_bytes),
     )
     loop.stack.callback(server.close)
+    if settings.metrics_address:
+        from auburnway.registrar import telemetry as telemetry_lib
+
+        telemetry = telemetry_lib.Telemetry(node, lambda: writer.dropped_count)
+        _serve_metrics(settings.metrics_address, telemetry, loop, sockets)
     loop.on_stop = node.consensus.leave
+    loop.on_reload = _log_reload
     loguru.logger.bind(
         address=settings.public_address, incarnation=identity.incarnation
     ).info("control instance runs")
@@ -110,5 +123,25 @@
     return node.consensus.exit_code
 
 
+def _serve_metrics(address: str, telemetry, loop, sockets) -> None:
+    from auburnway.net import web_server
+
+    def on_request(request: web_server.Request):
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        request.reply(200, headers, telemetry.text())
+
+    server = web_server.WebServer(
+        address, sockets, loop.timers, loop.clock, on_request
+    )
+    loop.stack.callback(server.close)
+    loop.stack.callback(telemetry.close)
+
+
+def _log_reload() -> None:
+    # Addresses and seeds are read at the next start; streams to control
+    # follow its members without them.
+    loguru.logger.info("settings changed; they count from the next start")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -191,6 +191,7 @@
         18225,
     )
     INTERNAL_PORT = 17740
+    METRICS_PORT = 18230
 
     def __init__(self, folder, net, controls=3, entries=2):
         self.backends = []
@@ -218,6 +219,7 @@
                 "internal_port": self.INTERNAL_PORT,
                 "seeds": self.seeds,
                 "is_first_start": is_first_start,
+                "metrics_address": f"{ip}:{self.METRICS_PORT}",
             },
         )
 
@@ -236,6 +238,7 @@
                 "internal_port": self.INTERNAL_PORT,
                 "seeds": self.seeds,
                 "grace_ms": 3000,
+                "metrics_address": f"{ip}:{self.METRICS_PORT}",
             },
         )
 
--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -1,7 +1,9 @@
 """The real programs on loopback, spoken to as the platform does."""
 
 import json
+import re
 import shutil
+import signal
 import threading
 import time
 
@@ -159,6 +161,38 @@
     testing.wait_until(lambda: len(listed()) == 2)
 
 
+def test_metrics(platform):
+    platform.request("/one/x")
+    entry, control = platform.entries[0].ip, platform.controls[0].ip
+    for ip, wanted in (
+        (entry, "auburnway_answers_total"),
+        (entry, r"auburnway_request_duration_seconds_bucket"),
+        (entry, r"auburnway_configuration_revision{.*} 3\.0"),
+        (control, r"auburnway_consensus_voters{.*} 3\.0"),
+        (control, r"auburnway_log_dropped_lines{.*} 0\.0"),
+    ):
+        address = f"{ip}:{platform.METRICS_PORT}"
+        status, _, body = testing.call(address, "GET", "/metrics")
+        assert status == 200
+        assert re.search(wanted, body.decode())
+
+
+def test_every_unserved_request_is_logged(platform):
+    platform.request("/none/", Request_Id="logged-1")
+    text = platform.entries[0].log_path.read_text()
+    lines = [json.loads(line) for line in text.splitlines()]
+    found = [line for line in lines if line.get("request") == "logged-1"]
+    assert [(f["status"], f["reason"]) for f in found] == [(404, "no_route")]
+
+
+def test_reload_does_not_end_a_process(platform):
+    # The default action of SIGHUP ends a process.
+    entry = platform.entries[0]
+    entry.stop(signal.SIGHUP)
+    testing.wait_until(lambda: "settings changed" in entry.log_path.read_text())
+    assert platform.request("/one/x")[0] == 200
+
+
 def test_control_instance_without_its_disk_joins_again(platform):
     # A voter that lost its disk must not vote before it is caught up.
     lost = platform.controls[0]
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -35,7 +35,7 @@
 TICK_MS = 250.0
 # Entries need about this long to connect after a start of all processes; an
 # earlier list would leave most of them out.
-FIRST_LIST_MS = 1500.0
+FIRST_LIST_MS = 500.0
 # After a start of all processes nothing is served before the first election.
 # These instances are few and near each other, so it can be quick.
 RAFT_HEARTBEAT_MS = 75.0
@@ -197,6 +197,11 @@
         loop.timers.every(TICK_MS, self._tick)
         loop.timers.every(SAVE_MS, self._save)
 
+    @property
+    def entry_count(self) -> int:
+        """Number of entries that are connected."""
+        return len(self._entries)
+
     # Operators.
 
     def put_configuration(
--- /dev/null
+++ b/auburnway/registrar/telemetry.py
@@ -0,0 +1,67 @@
+"""Metrics of a control instance, loaded only when an address is set."""
+
+import typing
+
+from auburnway.kernel import metrics as metrics_lib
+
+if typing.TYPE_CHECKING:
+    from auburnway.registrar import node as node_lib
+
+
+class Telemetry:
+    """Gauges of one control instance.
+
+    Args:
+      node: Control instance whose state they show.
+      dropped_lines: Returns the number of dropped log lines.
+    """
+
+    def __init__(self, node: "node_lib.Node", dropped_lines):
+        self._metrics = metrics_lib.Metrics("control")
+        consensus = node.consensus
+        gauge = self._metrics.gauge
+        gauge(
+            "configuration.revision",
+            "Committed revision; -1 before the first.",
+            lambda: [(consensus.state.revision, {})],
+        )
+        gauge("consensus.term", "Term.", lambda: [(consensus.raft.term, {})])
+        gauge(
+            "consensus.is_leader",
+            "1 on the leader.",
+            lambda: [(int(consensus.is_leader), {})],
+        )
+        gauge(
+            "consensus.voters",
+            "Voters of the latest member set.",
+            lambda: [(sum(m.voter for m in consensus.raft.members), {})],
+        )
+        gauge(
+            "consensus.log.size",
+            "Size of the log on disk.",
+            lambda: [(consensus.log_bytes, {})],
+            unit="By",
+        )
+        gauge(
+            "entries",
+            "Entries that are connected.",
+            lambda: [(node.entry_count, {})],
+        )
+        gauge(
+            "backend.servers",
+            "Known backend servers, ended ones included.",
+            lambda: [(len(node.table), {})],
+        )
+        gauge(
+            "log.dropped_lines",
+            "Log lines dropped since the start.",
+            lambda: [(dropped_lines(), {})],
+        )
+
+    def text(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        return self._metrics.text()
+
+    def close(self) -> None:
+        """Shuts the provider down."""
+        self._metrics.close()
