Repeat a slow canary instead of asking every shard

Cause: KNOWN-RED 2. A request that crashes its canary later than the 95th percentile of sub-requests had been sent to every shard by then.

Change: the canary is repeated on one other replica; the rest follows the first reply, or half of the time left (2 s at most) when both are silent.

Result: test_crash_that_shows_late_takes_two_servers passes; its mark is removed. The latency of unseen queries was not measured.

Conclusion: entry 2 leaves KNOWN-RED; entry 4 may have had this cause, but no run shows it.

--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -22,7 +22,9 @@
 ANSWER_MARGIN_SHARE = 0.1
 # Greatest pause when every replica of a shard refused for lack of a slot.
 MAX_BACKOFF_MS = 20.0
-# The rest of a fan-out follows its canary after this without latency data.
+# Part of the time left for which a silent canary and its copy hold the rest.
+CANARY_HOLD_SHARE = 0.5
+# A canary is repeated after this without latency data.
 CANARY_WAIT_MS = 50.0
 # A sub-request without a reply for this long is given up: its connection may
 # be silent for good.
@@ -134,11 +136,26 @@
         if not self._holds_trial:
             application = self._request.kind.application
             wait_ms = backends.hedger.delay_ms(application) or CANARY_WAIT_MS
-            self._after(wait_ms, lambda: self._pass_canary(first))
+            self._after(wait_ms, lambda: self._repeat_canary(first))
+            left_ms = self._request.deadline_at_ms - backends.clock.now_ms()
+            hold_ms = min(SILENCE_MS, CANARY_HOLD_SHARE * left_ms)
+            self._after(hold_ms, lambda: self._pass_canary(first))
+
+    def _repeat_canary(self, canary: sub_request.Shard) -> None:
+        """Asks one other replica when the canary is slow.
+
+        The rest still waits for a reply: a crash may show late, and would
+        otherwise take a server of every shard.
+        """
+        is_waiting = canary.open and bool(canary.attempts)
+        if self._finished or not is_waiting or not self._has_other(canary):
+            return
+        canary.hedges += 1
+        self._launch(canary, extra=True)
 
     def _pass_canary(self, canary: sub_request.Shard) -> None:
-        """Stops waiting for a slow canary; a lost one still holds the rest."""
-        if canary.attempts:
+        """Stops waiting for a silent canary; a lost one holds the rest."""
+        if not self._finished and canary.open and canary.attempts:
             self._launch_all()
 
     def _launch_all(self) -> None:
--- a/auburnway/entry/fan_out_test.py
+++ b/auburnway/entry/fan_out_test.py
@@ -159,10 +159,6 @@
     assert [r.outcome for r in ended] == ["not_run"]
 
 
-@pytest.mark.xfail(
-    strict=False,
-    reason="KNOWN-RED.txt: a crash that shows after the canary's time",
-)
 def test_crash_that_shows_late_takes_two_servers():
     # Guards against asking every shard while the canary may yet crash.
     bench = testing.Bench(canary="unseen")
@@ -174,6 +170,29 @@
     assert len({address for address, _ in bench.pool.sent}) <= 2
 
 
+def test_slow_canary_is_repeated_and_the_rest_follows_the_copy():
+    # Guards against a paused server that holds up every unseen query.
+    bench = testing.Bench(canary="unseen")
+    start(bench)
+    (canary,) = bench.pool.waiting()
+    bench.advance(100.0)
+    (copy,) = [each for each in bench.pool.waiting() if each is not canary]
+    bench.pool.answer(copy)
+    assert len(bench.pool.waiting()) == 2
+    answer_all(bench)
+    assert bench.answers[0].coverage.share == 1.0
+
+
+def test_silent_canary_does_not_hold_the_rest_for_ever():
+    bench = testing.Bench(canary="unseen")
+    request = start(bench)
+    left_ms = request.deadline_at_ms - bench.clock.now_ms()
+    bench.advance(min(fan_out.SILENCE_MS, left_ms / 2) - 10.0)
+    assert len(bench.pool.waiting()) == 2
+    bench.advance(20.0)
+    assert all(bench.pool.waiting(shard) for shard in range(3))
+
+
 def test_rest_follows_the_canary_and_is_remembered():
     bench = testing.Bench(canary="unseen")
     start(bench)
