--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -324,7 +324,7 @@
     def budget(self, service: str) -> retry_budget.Budget:
         """Returns the budget for extra sends to a service."""
         budget = self._budgets.get(service)
-        entries = len(self._feed.entries()) or UNKNOWN_ENTRIES
+        entries = self._feed.entry_count or UNKNOWN_ENTRIES
         slack = self._settings.retry_slack / entries
         burst = max(BURST_USE * slack, 1.0)
         if budget is None:
@@ -405,7 +405,7 @@
         )
 
     def _connection_limit(self, service: str) -> int:
-        entries = len(self._feed.entries()) or UNKNOWN_ENTRIES
+        entries = self._feed.entry_count or UNKNOWN_ENTRIES
         return max(self._limits.get(service, 1) // (entries + 1), 1)
 
     def payload(self, job: Job, row: server_table.Row, now_ms: float) -> bytes:
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -28,6 +28,7 @@
 # it was lost or no longer lists it.
 LISTED_MS = 2_000.0
 PURGE_MS = 10_000.0
+COUNT_MS = 100.0
 
 
 class Feed:
@@ -66,6 +67,8 @@
         self._dialers: dict[str, stream_lib.Dialer] = {}
         self._lists: dict[str, tuple] = {}
         self._listed_ms: dict[tuple[str, str], float] = {}
+        self._count = 0
+        self._count_until_ms = float("-inf")
         self._wanted_revision = -1
         self._asked: set[str] = set()
         self._seeds = {
@@ -90,6 +93,18 @@
         """Number of control instances with an established stream."""
         return sum(d.stream is not None for d in self._dialers.values())
 
+    @property
+    def entry_count(self) -> int:
+        """Number of listed entries; 0 while no list is known.
+
+        It is asked for with every send, so it may be `COUNT_MS` old.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._count_until_ms:
+            self._count = len(self.entries())
+            self._count_until_ms = now_ms + COUNT_MS
+        return self._count
+
     def entries(self) -> tuple[tuple[str, str], ...]:
         """Returns address and data centre of the entries for clients."""
         now_ms = self._clock.now_ms()
