--- a/auburnway/gateway/job.py
+++ b/auburnway/gateway/job.py
@@ -8,6 +8,7 @@
 from auburnway.gateway import attempts
 from auburnway.gateway import dialect as dialect_lib
 from auburnway.gateway import dispatcher as dispatcher_lib
+from auburnway.gateway import leg as leg_lib
 from auburnway.gateway import merge
 
 # Headers that concern one connection only; RFC 9110, section 7.6.1.
@@ -110,13 +111,13 @@
     def __init__(
         self,
         dispatcher: dispatcher_lib.Dispatcher,
-        job: dispatcher_lib.Job,
+        job: leg_lib.Job,
         service: str,
         on_answer: OnAnswer,
     ):
         self._job = job
         self._on_answer = on_answer
-        self._leg = dispatcher_lib.Leg(dispatcher, job, service, self._on_done)
+        self._leg = leg_lib.Leg(dispatcher, job, service, self._on_done)
         self._timer = dispatcher.timers.after(
             job.deadline_ms - job.started_ms, self._on_deadline
         )
@@ -138,7 +139,7 @@
         else:
             self._on_answer(_without_reply(self._job.route, False, "timed_out"))
 
-    def _on_done(self, leg: dispatcher_lib.Leg) -> None:
+    def _on_done(self, leg: leg_lib.Leg) -> None:
         self._timer.cancel()
         reply = leg.reply
         if reply is None:
@@ -172,7 +173,7 @@
         self,
         dispatcher: dispatcher_lib.Dispatcher,
         dialect: dialect_lib.Dialect,
-        job: dispatcher_lib.Job,
+        job: leg_lib.Job,
         shards: tuple[str, ...],
         on_answer: OnAnswer,
     ):
@@ -192,10 +193,10 @@
         self._on_answer = on_answer
         self._is_late = False
         self._is_done = False
-        self._parts: dict[str, dispatcher_lib.Leg] = {}
+        self._parts: dict[str, leg_lib.Leg] = {}
         self._open = len(shards)
         self._legs = [
-            dispatcher_lib.Leg(dispatcher, job, shard, self._on_leg)
+            leg_lib.Leg(dispatcher, job, shard, self._on_leg)
             for shard in shards
         ]
         now_ms = dispatcher.now_ms()
@@ -233,7 +234,7 @@
             self._coverage >= self._gather.min_coverage - 1e-9
         )
 
-    def _on_leg(self, leg: dispatcher_lib.Leg) -> None:
+    def _on_leg(self, leg: leg_lib.Leg) -> None:
         if self._is_done:
             return
         self._open -= 1
@@ -242,13 +243,13 @@
         if self._open == 0 or (self._is_late and self._has_enough):
             self._finish("incomplete")
 
-    def _is_part(self, leg: dispatcher_lib.Leg) -> bool:
+    def _is_part(self, leg: leg_lib.Leg) -> bool:
         # Two equal signatures would make the whole answer wrong.
         signature = self._signature(leg)
         known = map(self._signature, self._parts.values())
         return leg.reply.status == 200 and signature not in known
 
-    def _signature(self, leg: dispatcher_lib.Leg) -> bytes:
+    def _signature(self, leg: leg_lib.Leg) -> bytes:
         return leg.reply.fields[self._dialect.signature]
 
     def _on_target(self) -> None:
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -10,6 +10,7 @@
 from auburnway.gateway import dispatcher as dispatcher_lib
 from auburnway.gateway import feed as feed_lib
 from auburnway.gateway import job as job_lib
+from auburnway.gateway import leg as leg_lib
 from auburnway.gateway import settings as settings_lib
 from auburnway.kernel import process
 from auburnway.net import socket_set
@@ -198,11 +199,11 @@
 
     def _job(
         self, request: web_server.Request, route: route_table.Route
-    ) -> dispatcher_lib.Job:
+    ) -> leg_lib.Job:
         stated = request.fields.get(self._dialect.time_left.lower(), b"")
         left_ms = float(stated) if stated.isdigit() else MAX_DEADLINE_MS
         left_ms = min(left_ms, route.timeout_ms)
-        return dispatcher_lib.Job(
+        return leg_lib.Job(
             request.fields[self._dialect.request_id.lower()],
             route,
             self._head(request),
@@ -243,7 +244,7 @@
     def _answer(
         self,
         request: web_server.Request,
-        job: dispatcher_lib.Job | None,
+        job: leg_lib.Job | None,
         answer: job_lib.Answer,
     ) -> None:
         request.reply(answer.status, answer.headers, answer.body)
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -79,6 +79,7 @@
     from auburnway.net import socket_set
     from auburnway.net import web_server
     from auburnway.platform import control_calls as calls
+    from auburnway.registrar import folder as folder_lib
     from auburnway.registrar import node as node_lib
     from auburnway.registrar import settings as settings_lib
     from auburnway.storage import disk as disk_lib
@@ -91,7 +92,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         disk = disk_lib.FolderDisk(folder)
         loop.stack.callback(disk.close)
-        identity, store = node_lib.open_store(settings, disk)
+        identity, store = folder_lib.open_store(settings, disk)
     except disk_lib.DiskFault as fault:
         loguru.logger.error(fault.error.message)
         return fault.error.exit_code
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -9,7 +9,6 @@
 
 from collections import abc
 import functools
-import secrets
 
 import loguru
 from returns import pipeline
@@ -24,6 +23,7 @@
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
+from auburnway.registrar import folder
 from auburnway.registrar import messages
 from auburnway.registrar import revision_machine
 from auburnway.registrar import settings as settings_lib
@@ -86,48 +86,6 @@
         """The stream is owned by the node."""
 
 
-def open_store(
-    settings: settings_lib.Settings, disk: disk_lib.Disk
-) -> tuple[store_lib.Identity, store_lib.Store]:
-    """Opens the data folder, and writes a new one first if it is empty.
-
-    On the first start of the whole system the seeds are the voters. Any other
-    instance with an empty folder gets a new incarnation, which joins.
-
-    Raises:
-      DiskFault: The folder cannot be used.
-    """
-    address = f"{settings.ip}:{settings.internal_port}"
-    identity = store_lib.read_identity(disk)
-    if identity is None:
-        first = tuple(
-            raft_records.Member(seed, store_lib.first_incarnation(seed), seed)
-            for seed in sorted(internal_addresses(settings))
-        )
-        is_voter = settings.is_first_start and address in [
-            m.name for m in first
-        ]
-        incarnation = (
-            store_lib.first_incarnation(address)
-            if is_voter
-            else f"{address}.{secrets.token_hex(8)}"
-        )
-        identity = store_lib.Identity(address, incarnation)
-        store_lib.create(disk, identity, first if is_voter else ())
-        loguru.logger.bind(incarnation=incarnation, is_voter=is_voter).info(
-            "made a new data folder"
-        )
-    return identity, store_lib.Store(disk)
-
-
-def internal_addresses(settings: settings_lib.Settings) -> set[str]:
-    """Returns the internal addresses of the seeds."""
-    return {
-        f"{seed.rpartition(':')[0]}:{settings.internal_port}"
-        for seed in settings.seeds
-    }
-
-
 class Node:
     """One control instance.
 
@@ -466,11 +424,13 @@
 
     def _control_addresses(self) -> tuple[str, ...]:
         members = {m.address for m in self.consensus.raft.members}
-        return tuple(sorted(members or internal_addresses(self._settings)))
+        return tuple(
+            sorted(members or folder.internal_addresses(self._settings))
+        )
 
     def _sync_dialers(self) -> None:
         wanted = {m.address for m in self.consensus.raft.members}
-        wanted |= internal_addresses(self._settings)
+        wanted |= folder.internal_addresses(self._settings)
         wanted.discard(self.address)
         for address in wanted:
             self.dialer(address)
--- a/auburnway/registrar/revision_machine.py
+++ b/auburnway/registrar/revision_machine.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import typing
 import zlib
 
 import msgpack
@@ -88,8 +87,3 @@
       zlib.error: It is damaged.
     """
     return zlib.decompress(content)
-
-
-def no_document(state: typing.Any) -> bool:
-    """Whether no configuration was accepted yet."""
-    return state.revision < 0
