--- /dev/null
+++ b/auburnway/registrar/folder_test.py
@@ -0,0 +1,50 @@
+"""The data folder at the first and at later starts."""
+
+import pytest
+
+from auburnway.registrar import folder
+from auburnway.registrar import settings as settings_lib
+from auburnway.storage import disk as disk_lib
+
+SEEDS = ("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80")
+
+
+def opened(disk, ip, is_first_start):
+    settings = settings_lib.Settings(
+        name=ip,
+        ip=ip,
+        data_center="z",
+        data_folder="",
+        public_address=f"{ip}:80",
+        internal_port=7,
+        seeds=SEEDS,
+        is_first_start=is_first_start,
+    )
+    identity, store = folder.open_store(settings, disk)
+    return identity.incarnation, store.log.snapshot.members
+
+
+def test_seeds_are_the_first_voters():
+    disk = disk_lib.FakeDisk()
+    incarnation, members = opened(disk, "10.0.0.2", True)
+    assert incarnation == "10.0.0.2:7.first"
+    assert [m.incarnation for m in members] == [
+        f"10.0.0.{n}:7.first" for n in (1, 2, 3)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("ip", "is_first_start"), [("10.0.0.4", True), ("10.0.0.2", False)]
+)
+def test_any_other_empty_folder_joins(ip, is_first_start):
+    # A seed that lost its disk must not vote under its first incarnation,
+    # whose votes and entries it has forgotten.
+    incarnation, members = opened(disk_lib.FakeDisk(), ip, is_first_start)
+    assert not incarnation.endswith(".first")
+    assert members == ()
+
+
+def test_restart_keeps_the_identity():
+    disk = disk_lib.FakeDisk()
+    first = opened(disk, "10.0.0.4", False)
+    assert opened(disk, "10.0.0.4", True) == first
