--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -6,7 +6,6 @@
 """
 
 from collections import abc
-import itertools
 
 from auburnway.core import answer as answer_lib
 from auburnway.core import errors
@@ -473,27 +472,19 @@
             s.attempts or s.records is not None for s in self._shards.values()
         )
         if self._manifest is not None and some_sent:
-            self._end(self._partial())
+            merged = sub_request.merge(
+                self._request,
+                self._configuration_number,
+                self._manifest,
+                self._shards,
+            )
+            self._end(merged)
             return
         request = self._request
         detail = f"no backend server of {request.kind.application} was reached"
         error = errors.NoBackendServer(detail, request.request_id)
         self._end(answer_lib.NotRun(request.request_id, error))
 
-    def _partial(self) -> answer_lib.Done:
-        answered = {
-            shard: each.records
-            for shard, each in sorted(self._shards.items())
-            if each.records is not None
-        }
-        return answer_lib.Done(
-            request=self._request,
-            configuration_number=self._configuration_number,
-            snapshot=self._manifest.snapshot,
-            coverage=snapshot_lib.coverage(self._manifest, answered),
-            records=tuple(itertools.chain(*answered.values())),
-        )
-
     def _end(self, answer: answer_lib.Answer) -> None:
         if self._finished:
             return
--- a/auburnway/entry/sub_request.py
+++ b/auburnway/entry/sub_request.py
@@ -1,9 +1,14 @@
 """Progress of the sub-requests of one query."""
 
+from collections import abc
 import dataclasses
+import itertools
 import typing
 
+from auburnway.core import answer as answer_lib
 from auburnway.core import membership
+from auburnway.core import request as request_lib
+from auburnway.core import snapshot as snapshot_lib
 from auburnway.net import exchange as exchange_lib
 
 # First pause when every replica of a shard refused for lack of a slot.
@@ -55,3 +60,31 @@
     def open(self) -> bool:
         """Whether the shard may still answer."""
         return self.records is None and not self.failed
+
+
+def merge(
+    request: request_lib.Request,
+    configuration_number: int,
+    manifest: snapshot_lib.Manifest,
+    shards: abc.Mapping[int, Shard],
+) -> answer_lib.Done:
+    """Returns the answer that consists of what has arrived.
+
+    Args:
+      request: The query.
+      configuration_number: Configuration under which it ran.
+      manifest: Shard map of the snapshot that it is pinned to.
+      shards: Progress by number of the shard.
+    """
+    answered = {
+        shard: each.records
+        for shard, each in sorted(shards.items())
+        if each.records is not None
+    }
+    return answer_lib.Done(
+        request=request,
+        configuration_number=configuration_number,
+        snapshot=manifest.snapshot,
+        coverage=snapshot_lib.coverage(manifest, answered),
+        records=tuple(itertools.chain(*answered.values())),
+    )
