Judge the servers of a query once

Cause: a profile shows 170 us a sub-request for admission and choice, of which half judges the same servers again a moment later.

Change: the server that admission found best gets the first send.

--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -136,17 +136,18 @@
             return False
         return best.server.busy(now_ms) < best.server.slots
 
-    def shard(
+    def outlook(
         self, service: str, route: route_table.Route
-    ) -> shard_admission.Shard:
-        """Returns what is expected of a service for one more request."""
+    ) -> tuple[shard_admission.Shard, server_table.Row | None]:
+        """Returns what is expected of a service, and its best server."""
         best, now_ms = self._best(service, route, frozenset()), self.now_ms()
         if best is None:
-            return shard_admission.Shard(None)
+            return shard_admission.Shard(None), None
         expected_ms = best.server.expected_ms(now_ms, self.base_ms(route))
         is_full = best.server.busy(now_ms) >= best.server.slots
         is_usable = server_choice.is_usable(best, now_ms)
-        return shard_admission.Shard(expected_ms, is_full, not is_usable)
+        shard = shard_admission.Shard(expected_ms, is_full, not is_usable)
+        return shard, self._feed.table.get(best.key)
 
     def base_ms(self, route: route_table.Route) -> float:
         """Returns the time of a request of a route on an idle server."""
--- a/auburnway/gateway/job.py
+++ b/auburnway/gateway/job.py
@@ -5,6 +5,7 @@
 import random
 
 from auburnway.core import route_table
+from auburnway.core import server_table
 from auburnway.gateway import attempts
 from auburnway.gateway import dialect as dialect_lib
 from auburnway.gateway import dispatcher as dispatcher_lib
@@ -174,7 +175,7 @@
         dispatcher: dispatcher_lib.Dispatcher,
         dialect: dialect_lib.Dialect,
         job: leg_lib.Job,
-        shards: tuple[str, ...],
+        shards: abc.Mapping[str, server_table.Row | None],
         on_answer: OnAnswer,
     ):
         """Creates the job.
@@ -183,7 +184,8 @@
           dispatcher: Sends the sub-requests.
           dialect: Header names.
           job: The request.
-          shards: Shards of the route that the query is sent to.
+          shards: Shards of the route that the query is sent to, each with
+            its best server.
           on_answer: Called once with the answer.
         """
         self._dispatcher = dispatcher
@@ -196,8 +198,8 @@
         self._parts: dict[str, leg_lib.Leg] = {}
         self._open = len(shards)
         self._legs = [
-            leg_lib.Leg(dispatcher, job, shard, self._on_leg)
-            for shard in shards
+            leg_lib.Leg(dispatcher, job, shard, self._on_leg, first)
+            for shard, first in shards.items()
         ]
         now_ms = dispatcher.now_ms()
         self._timers = [
--- a/auburnway/gateway/leg.py
+++ b/auburnway/gateway/leg.py
@@ -90,13 +90,24 @@
         job: Job,
         service: str,
         on_done: abc.Callable[["Leg"], None],
+        first: server_table.Row | None = None,
     ):
+        """Creates a leg.
+
+        Args:
+          dispatcher: Chooses servers and owns the connections.
+          job: The client request.
+          service: Service that is asked.
+          on_done: Called once when the leg has ended by itself.
+          first: Server of the first send, when it was chosen a moment ago.
+        """
         self.service = service
         self.reply: web_client.Reply | None = None
         self.outcome: attempts_lib.Outcome | None = None
         self._dispatcher = dispatcher
         self._job = job
         self._on_done = on_done
+        self._first = first
         self._rules = attempts_lib.Attempts(
             job.route.max_attempts, job.route.is_repeatable
         )
@@ -133,7 +144,11 @@
 
     def _send(self) -> None:
         dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
-        row = dispatcher.choose(self.service, self._job.route, self._tried())
+        row, self._first = self._first, None
+        if row is None:
+            row = dispatcher.choose(
+                self.service, self._job.route, self._tried()
+            )
         if row is None:
             if not self._pending():
                 self._end_without_reply()
--- a/auburnway/gateway/leg_test.py
+++ b/auburnway/gateway/leg_test.py
@@ -96,7 +96,7 @@
             self.dispatcher,
             DIALECT,
             self.job,
-            self.route.gather.shards,
+            dict.fromkeys(self.route.gather.shards),
             self.answers.append,
         ).start()
 
@@ -296,5 +296,5 @@
     rig.single()
     rig.lose(rig.pool.sent[0])
     rig.lose(rig.pool.sent[1])
-    assert rig.dispatcher.shard("a", rig.route).is_doubtful
+    assert rig.dispatcher.outlook("a", rig.route)[0].is_doubtful
     assert rig.answers[0].reason == "backend_server_lost"
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -161,11 +161,12 @@
     def _gathered(self, job, on_answer) -> job_lib.Gathered | None:
         """Returns the work on a query; None when it finds no room."""
         route, now_ms = job.route, self._clock.now_ms()
+        outlooks = {
+            shard: self.dispatcher.outlook(shard, route)
+            for shard in route.gather.shards
+        }
         shards = shard_admission.plan(
-            {
-                shard: self.dispatcher.shard(shard, route)
-                for shard in route.gather.shards
-            },
+            {shard: outlook for shard, (outlook, _) in outlooks.items()},
             job.target_ms - now_ms,
             job.deadline_ms - now_ms,
             route.gather.min_coverage,
@@ -176,7 +177,11 @@
             shards = route.gather.shards
         self._prober.on_admitted(route.name, now_ms)
         return job_lib.Gathered(
-            self.dispatcher, self._dialect, job, shards, on_answer
+            self.dispatcher,
+            self._dialect,
+            job,
+            {shard: outlooks[shard][1] for shard in shards},
+            on_answer,
         )
 
     def _refuse_early(
