Forget servers and budgets that are gone

Cause: found on reading: what an entry has seen of a server was kept for ever, and each restart of a server brings a new identity.

Change: every 10 s, servers that left the table and have nothing outstanding are dropped; budgets follow the configuration's services.

Result: a test that failed before (no function dropped anything).

--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -43,6 +43,8 @@
 HEDGE_FACTOR = 2.5
 # Base times that a copy needs to be answered with good likelihood.
 COPY_FACTOR = 2.0
+# Period in which servers that left the table are forgotten.
+FORGET_MS = 10_000.0
 
 
 class Dispatcher:
@@ -87,6 +89,14 @@
         self._base = hedging.Hedger(BASE_QUANTILE_PERCENT, BASE_MIN_SAMPLES)
         self._limits: dict[str, int] = {}
         self._rng = random.Random(settings.name)
+        loop.timers.every(FORGET_MS, self.forget_gone)
+
+    def forget_gone(self) -> None:
+        """Drops what was seen of servers that left the table."""
+        gone = [i for i in self._seen if self._feed.table.get(i) is None]
+        for server_id in gone:
+            if not self._seen[server_id].sent_ms:
+                del self._seen[server_id]
 
     def configure(self, configuration: route_table.Configuration) -> None:
         """Follows a configuration."""
@@ -94,6 +104,11 @@
             service.name: service.connection_limit
             for service in configuration.services
         }
+        self._budgets = {
+            service: budget
+            for service, budget in self._budgets.items()
+            if service in self._limits
+        }
 
     def budget(self, service: str) -> retry_budget.Budget:
         """Returns the budget for extra sends to a service."""
--- a/auburnway/gateway/leg_test.py
+++ b/auburnway/gateway/leg_test.py
@@ -298,3 +298,15 @@
     rig.lose(rig.pool.sent[1])
     assert rig.dispatcher.outlook("a", rig.route)[0].is_doubtful
     assert rig.answers[0].reason == "backend_server_lost"
+
+
+def test_servers_that_left_the_table_are_forgotten():
+    # Hundreds of servers restart each day, each under a new identity.
+    rig = Rig(shards=("a",), servers=1, gather=None)
+    rig.single()
+    rig.feed.table = server_table.Table()
+    rig.dispatcher.forget_gone()
+    assert "a0" in rig.dispatcher._seen
+    rig.answer(rig.pool.sent[0])
+    rig.dispatcher.forget_gone()
+    assert rig.dispatcher._seen == {}
