--- a/auburnway/entry/fan_out.py
+++ b/auburnway/entry/fan_out.py
@@ -15,19 +15,10 @@
 from auburnway.entry import sub_request
 from auburnway.net import exchange as exchange_lib
 
-# Time kept for merging and for the way back to the caller.
-ANSWER_MARGIN_MS = 10.0
-# Part of a short deadline that is kept at most.
-ANSWER_MARGIN_SHARE = 0.1
 # Greatest pause when every replica of a shard refused for lack of a slot.
 MAX_BACKOFF_MS = 20.0
-# Part of the time left for which a silent canary and its copy hold the rest.
-CANARY_HOLD_SHARE = 0.5
 # A canary is repeated after this without latency data.
 CANARY_WAIT_MS = 50.0
-# A sub-request without a reply for this long is given up: its connection may
-# be silent for good.
-SILENCE_MS = 2000.0
 # A query that had to be planned anew this often takes what it has.
 MAX_PLANS = 3
 
@@ -60,8 +51,7 @@
         backends, request = self._backends, self._request
         now_ms = backends.clock.now_ms()
         left_ms = request.deadline_at_ms - now_ms
-        margin_ms = min(ANSWER_MARGIN_MS, left_ms * ANSWER_MARGIN_SHARE)
-        self._after(left_ms - margin_ms, self._finish)
+        self._after(sub_request.answer_after_ms(left_ms), self._finish)
         guard = backends.guard
         if guard.needs_trial(request):
             guard.acquire_trial(request, self._on_trial)
@@ -137,7 +127,7 @@
             wait_ms = backends.hedger.delay_ms(application) or CANARY_WAIT_MS
             self._after(wait_ms, lambda: self._repeat_canary(first))
             left_ms = self._request.deadline_at_ms - backends.clock.now_ms()
-            hold_ms = min(SILENCE_MS, CANARY_HOLD_SHARE * left_ms)
+            hold_ms = sub_request.canary_hold_ms(left_ms)
             self._after(hold_ms, lambda: self._pass_canary(first))
 
     def _repeat_canary(self, canary: sub_request.Shard) -> None:
@@ -169,7 +159,9 @@
         if waiting and not self._finished:
             plan = self._plans
             self._arm_hedge(plan)
-            self._after(SILENCE_MS, lambda: self._give_up_silent(plan))
+            self._after(
+                sub_request.SILENCE_MS, lambda: self._give_up_silent(plan)
+            )
 
     # Sub-requests.
 
--- a/auburnway/entry/fan_out_test.py
+++ b/auburnway/entry/fan_out_test.py
@@ -4,6 +4,7 @@
 from auburnway.core import answer as answer_lib
 from auburnway.core import membership
 from auburnway.entry import fan_out
+from auburnway.entry import sub_request
 from auburnway.entry import testing
 from auburnway.policy import retry_budget
 from auburnway.rpc import control_pb2
@@ -187,7 +188,7 @@
     bench = testing.Bench(canary="unseen")
     request = start(bench)
     left_ms = request.deadline_at_ms - bench.clock.now_ms()
-    bench.advance(min(fan_out.SILENCE_MS, left_ms / 2) - 10.0)
+    bench.advance(min(sub_request.SILENCE_MS, left_ms / 2) - 10.0)
     assert len(bench.pool.waiting()) == 2
     bench.advance(20.0)
     assert all(bench.pool.waiting(shard) for shard in range(3))
--- a/auburnway/entry/sub_request.py
+++ b/auburnway/entry/sub_request.py
@@ -13,6 +13,25 @@
 
 # First pause when every replica of a shard refused for lack of a slot.
 FIRST_BACKOFF_MS = 2.0
+# Time kept for merging and for the way back to the caller.
+ANSWER_MARGIN_MS = 10.0
+# Part of a short deadline that is kept at most.
+ANSWER_MARGIN_SHARE = 0.1
+# A sub-request without a reply for this long is given up: its connection may
+# be silent for good.
+SILENCE_MS = 2000.0
+# Part of the time left for which a silent canary and its copy hold the rest.
+CANARY_HOLD_SHARE = 0.5
+
+
+def answer_after_ms(left_ms: float) -> float:
+    """Returns when a query is answered with what it has, in ms from now."""
+    return left_ms - min(ANSWER_MARGIN_MS, left_ms * ANSWER_MARGIN_SHARE)
+
+
+def canary_hold_ms(left_ms: float) -> float:
+    """Returns how long a silent canary holds the rest of its query."""
+    return min(SILENCE_MS, CANARY_HOLD_SHARE * left_ms)
 
 
 @dataclasses.dataclass(eq=False, slots=True)
