Give each test worker a platform with addresses of its own

One test read the log before the line was written.

Change: the addresses follow the worker; the test waits for the line.

--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -1,6 +1,7 @@
 """The real programs on loopback, spoken to as the platform does."""
 
 import json
+import os
 import re
 import shutil
 import signal
@@ -12,13 +13,19 @@
 from auburnway.platform import testing
 
 CATCH_UP_S = 4.0
+# Third number of the loopback addresses of the first worker.
+FIRST_NET = 61
 
 pytestmark = pytest.mark.processes
 
 
 @pytest.fixture(name="platform", scope="module")
 def _platform(tmp_path_factory):
-    made = testing.Platform(tmp_path_factory.mktemp("platform"), 61)
+    # Each worker of pytest-xdist that runs a test of this module has its own
+    # platform, which needs addresses of its own.
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    folder = tmp_path_factory.mktemp("platform")
+    made = testing.Platform(folder, FIRST_NET + int(worker))
     try:
         assert made.put(testing.configuration(3)) == 200
         made.add_backend("solo-1", "solo")
@@ -179,10 +186,15 @@
 
 def test_every_unserved_request_is_logged(platform):
     platform.request("/none/", Request_Id="logged-1")
-    text = platform.entries[0].log_path.read_text()
-    lines = [json.loads(line) for line in text.splitlines()]
-    found = [line for line in lines if line.get("request") == "logged-1"]
-    assert [(f["status"], f["reason"]) for f in found] == [(404, "no_route")]
+
+    def logged():
+        # The line is written after the answer was sent.
+        text = platform.entries[0].log_path.read_text()
+        lines = [json.loads(line) for line in text.splitlines()]
+        return [line for line in lines if line.get("request") == "logged-1"]
+
+    (found,) = testing.wait_until(logged)
+    assert (found["status"], found["reason"]) == (404, "no_route")
 
 
 def test_reload_does_not_end_a_process(platform):
