--- a/auburnway/kernel/logs.py
+++ b/auburnway/kernel/logs.py
@@ -17,8 +17,7 @@
 import loguru
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-# Lines per second and process. A line costs about 30 us, so that logging takes
-# at most 1.5% of a core, whatever the load.
+# Lines per second and process, so that logging is bounded whatever the load.
 MAX_LINES_PER_S = 500
 
 
