--- a/auburnway/core/peer_state.py
+++ b/auburnway/core/peer_state.py
@@ -213,6 +213,18 @@
     return tuple(dict.fromkeys(entry.caller_address for entry in usable))
 
 
+def accepting_ms(address_ttl_ms: float) -> float:
+    """Returns how long an entry that leaves must still accept requests.
+
+    A peer whose datagrams are lost names it until it suspects it, and a caller
+    keeps that answer for its time to live.
+
+    Args:
+      address_ttl_ms: Time to live of an answer with addresses.
+    """
+    return SUSPECT_MS + address_ttl_ms
+
+
 def identifier(text: str) -> int:
     """Returns a stable 64-bit identifier of a name.
 
--- a/auburnway/entry/node.py
+++ b/auburnway/entry/node.py
@@ -434,7 +434,8 @@
         self._share()
         self._front.close_after_response()
         self._loop.timers.after(
-            self._settings.address_ttl_ms, self._stop_accepting
+            peer_state.accepting_ms(self._settings.address_ttl_ms),
+            self._stop_accepting,
         )
 
     def _stop_accepting(self) -> None:
--- a/auburnway/entry/peer_logic_test.py
+++ b/auburnway/entry/peer_logic_test.py
@@ -6,6 +6,7 @@
 
 from auburnway.core import isolation
 from auburnway.core import membership
+from auburnway.core import peer_state
 from auburnway.core import snapshot
 from auburnway.load import peer_network
 
@@ -258,6 +259,22 @@
     assert {len(n.logic.view.addresses()) for n in net.nodes.values()} == {29}
 
 
+def test_leaving_entry_accepts_while_any_answer_may_name_it():
+    # Guards against a listener that closes while a peer that missed the word
+    # still sends callers there.
+    ttl_ms = 2000.0
+    net = _fleet(3)
+    net.cuts = {("e1", "e2")}
+    net.nodes["e1"].logic.set_own(1, "", 0.0, True, {})
+    left_ms = net.clock.now_ms()
+    own = net.nodes["e1"].logic.view.addresses()
+    while len(net.nodes["e2"].logic.view.addresses()) > len(own):
+        net.run(50)
+    last_named_ms = net.clock.now_ms() - left_ms - 50
+    assert last_named_ms > 0
+    assert peer_state.accepting_ms(ttl_ms) >= last_named_ms + ttl_ms
+
+
 def test_restarted_entry_learns_the_table_at_once():
     # Guards against a restart that waits for announcements, and against a
     # row that is gone coming back by repair.
--- a/auburnway/load/caller.py
+++ b/auburnway/load/caller.py
@@ -7,6 +7,8 @@
 import random
 import typing
 
+import loguru
+
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
 from auburnway.net import exchange as exchange_lib
@@ -101,7 +103,8 @@
             timeout.cancel()
             ttl_ms = self._take_addresses(reply)
             if ttl_ms is None:
-                self.counts["addresses_failed"] += 1
+                cause = reply.failure.value if reply.failure else reply.status
+                self._on_addresses_failed(address, cause)
                 self._fetch_from(others, on_ready)
                 return
             self._timers.after(ttl_ms, lambda: self._fetch(None))
@@ -110,13 +113,19 @@
 
         def on_timeout():
             exchange.abandon()
-            self.counts["addresses_failed"] += 1
+            self._on_addresses_failed(address, "no answer in time")
             self._fetch_from(others, on_ready)
 
         timeout = self._timers.after(ADDRESSES_TIMEOUT_MS, on_timeout)
         self._pool.set_server(address, self._connection_limit, 0)
         exchange = self._pool.send(address, payload.encode(), on_reply)
 
+    def _on_addresses_failed(self, address: str, cause: str | int) -> None:
+        self.counts["addresses_failed"] += 1
+        loguru.logger.bind(entry=address).warning(
+            "a call for addresses failed: {}", cause
+        )
+
     def _take_addresses(self, reply: exchange_lib.Reply) -> float | None:
         """Returns the time to live, or None when there are no addresses."""
         try:
