Run enough voters for the losses that a deployment states

Silent voters were also removed down to three, whatever is to be borne: the new test loses two disks after two others were dark for 20 s, and no majority is left (fails first).

--- a/auburnway/core/raft_test.py
+++ b/auburnway/core/raft_test.py
@@ -223,6 +223,30 @@
     assert len(cluster.leader().raft.members) == 3
 
 
+def test_removal_leaves_enough_voters_for_all_tolerated_losses():
+    # Guards against a member set that shrinks to four while two instances are
+    # dark: when two others then lose their disks, no majority is left.
+    cluster = model.Cluster(**QUICK, least_voters=5)
+    for name in "def":
+        cluster.add(name)
+    cluster.run(3_000.0)
+    data = cluster.propose(cluster.leader().identity.name)
+    cluster.run(500.0)
+    others = [n for n in cluster.lives if n != cluster.leader().identity.name]
+    for name in others[:2]:
+        cluster.lives[name].crash()
+    cluster.run(20_000.0)
+    assert sum(m.voter for m in cluster.leader().raft.members) == 6
+    for name in others[:2]:
+        cluster.lives[name].start()
+    cluster.run(1_000.0)
+    for name in others[2:4]:
+        cluster.lose_disk(name)
+    cluster.run(10_000.0)
+    assert data in [row[1] for row in cluster.leader().applied]
+    assert sum(m.voter for m in cluster.leader().raft.members) == 6
+
+
 def test_first_election_is_quick():
     # After a start of all processes nothing is served before it.
     cluster = model.Cluster(**QUICK)
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -135,6 +135,7 @@
                 ELECTION_MAX_MS,
                 FIRST_ELECTION_MAX_MS,
                 remove_silent_ms=settings.remove_silent_ms,
+                least_voters=2 * settings.tolerated_losses + 1,
             ),
         )
         self.consensus.on_applied = self._on_applied
--- a/auburnway/registrar/settings.py
+++ b/auburnway/registrar/settings.py
@@ -41,6 +41,13 @@
         8_000.0,
         low=1_000,
     )
+    tolerated_losses: int = settings_lib.setting(
+        "Control instances that may be lost at once, with their disks. Silent"
+        " voters are removed only while enough are heard to bear that.",
+        1,
+        low=0,
+        high=50,
+    )
     metrics_address: str = settings_lib.setting(
         "Address that serves metrics, ip:port; empty for none.", ""
     )
