Choose servers with fewer calls, and watch sockets with fewer system calls

Cause: a query over 36 shards costs an entry 10.2 ms of processor on this machine (283 us a sub-request), a large part of the objective of an urgent query on half a core. A profile shows the ranking of servers, repeated lookups of limits for each server and an epoll_ctl for each write.

Change: time, base time and connection limit are read once a query, silent servers are kept in a set, and a socket's mask is changed only when it differs. Signatures of parts are compared through a set.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -84,6 +84,8 @@
         self._ended_ms: dict[str, float] = {}
         # Per server and control instance: whether that instance hears it.
         self._hearing: dict[str, dict[str, bool]] = {}
+        # Servers that are silent; asked for with every choice of a server.
+        self._silent: set[str] = set()
         self._by_service: dict[str, tuple[Row, ...]] | None = None
 
     def __len__(self) -> int:
@@ -140,16 +142,24 @@
     def set_heard(self, server_id: str, control: str, heard: bool) -> None:
         """Takes what a control instance says of a server."""
         self._hearing.setdefault(server_id, {})[control] = heard
+        self._judge_hearing(server_id)
 
     def drop_control(self, control: str) -> None:
         """Forgets what a control instance said, as it is lost."""
-        for hearing in self._hearing.values():
-            hearing.pop(control, None)
+        for server_id, hearing in self._hearing.items():
+            if hearing.pop(control, None) is not None:
+                self._judge_hearing(server_id)
 
     def is_silent(self, server_id: str) -> bool:
         """Whether control instances say that nothing is heard any more."""
-        hearing = self._hearing.get(server_id)
-        return bool(hearing) and not any(hearing.values())
+        return server_id in self._silent
+
+    def _judge_hearing(self, server_id: str) -> None:
+        hearing = self._hearing[server_id]
+        if hearing and not any(hearing.values()):
+            self._silent.add(server_id)
+        else:
+            self._silent.discard(server_id)
 
     def servers(self, service: str) -> tuple[Row, ...]:
         """Returns the servers of a service that take new requests."""
@@ -164,6 +174,7 @@
                 del self._ended_ms[server_id]
                 self._rows.pop(server_id, None)
                 self._hearing.pop(server_id, None)
+                self._silent.discard(server_id)
 
     def _index(self) -> dict[str, tuple[Row, ...]]:
         # An address belongs to the server that started there last.
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -139,26 +139,37 @@
         self, service: str, route: route_table.Route, tried: abc.Set[str]
     ) -> server_table.Row | None:
         """Returns the best server that was not tried yet, or None."""
-        best = self._best(service, route, tried)
+        base_ms = self.base_ms(route)
+        best = self._best(service, tried, self.now_ms(), base_ms)
         return self._feed.table.get(best.key) if best is not None else None
 
     def has_room(
         self, service: str, route: route_table.Route, tried: abc.Set[str]
     ) -> bool:
         """Whether the best server that was not tried has a free slot."""
-        best, now_ms = self._best(service, route, tried), self.now_ms()
+        now_ms = self.now_ms()
+        best = self._best(service, tried, now_ms, self.base_ms(route))
         if best is None or not server_choice.is_usable(best, now_ms):
             return False
         return best.server.busy(now_ms) < best.server.slots
 
-    def outlook(
-        self, service: str, route: route_table.Route
+    def outlooks(
+        self, route: route_table.Route
+    ) -> dict[str, tuple[shard_admission.Shard, server_table.Row | None]]:
+        """Returns what is expected of each shard, and its best server."""
+        now_ms, base_ms = self.now_ms(), self.base_ms(route)
+        return {
+            shard: self._outlook(shard, now_ms, base_ms)
+            for shard in route.gather.shards
+        }
+
+    def _outlook(
+        self, service: str, now_ms: float, base_ms: float
     ) -> tuple[shard_admission.Shard, server_table.Row | None]:
-        """Returns what is expected of a service, and its best server."""
-        best, now_ms = self._best(service, route, frozenset()), self.now_ms()
+        best = self._best(service, frozenset(), now_ms, base_ms)
         if best is None:
             return shard_admission.Shard(None), None
-        expected_ms = best.server.expected_ms(now_ms, self.base_ms(route))
+        expected_ms = best.server.expected_ms(now_ms, base_ms)
         is_full = best.server.busy(now_ms) >= best.server.slots
         is_usable = server_choice.is_usable(best, now_ms)
         shard = shard_admission.Shard(expected_ms, is_full, not is_usable)
@@ -172,19 +183,24 @@
         )
 
     def _best(
-        self, service: str, route: route_table.Route, tried: abc.Set[str]
+        self,
+        service: str,
+        tried: abc.Set[str],
+        now_ms: float,
+        base_ms: float,
     ) -> server_choice.Candidate | None:
+        limit = self._connection_limit(service)
         candidates = [
-            self._candidate(row)
+            self._candidate(row, limit)
             for row in self._feed.table.servers(service)
             if row.server_id not in tried
         ]
-        return server_choice.choose(
-            candidates, self.now_ms(), self.base_ms(route), self._rng
-        )
+        return server_choice.choose(candidates, now_ms, base_ms, self._rng)
 
-    def _candidate(self, row: server_table.Row) -> server_choice.Candidate:
-        self.pool.set_limit(row.address, self._connection_limit(row.service))
+    def _candidate(
+        self, row: server_table.Row, connection_limit: int
+    ) -> server_choice.Candidate:
+        self.pool.set_limit(row.address, connection_limit)
         is_near = row.data_center == self._settings.data_center
         return server_choice.Candidate(
             row.server_id,
--- a/auburnway/gateway/job.py
+++ b/auburnway/gateway/job.py
@@ -196,6 +196,7 @@
         self._is_late = False
         self._is_done = False
         self._parts: dict[str, leg_lib.Leg] = {}
+        self._signatures: set[bytes] = set()
         self._open = len(shards)
         self._legs = [
             leg_lib.Leg(dispatcher, job, shard, self._on_leg, first)
@@ -242,14 +243,14 @@
         self._open -= 1
         if leg.outcome is attempts.Outcome.SUCCESS and self._is_part(leg):
             self._parts[leg.service] = leg
+            self._signatures.add(self._signature(leg))
         if self._open == 0 or (self._is_late and self._has_enough):
             self._finish("incomplete")
 
     def _is_part(self, leg: leg_lib.Leg) -> bool:
         # Two equal signatures would make the whole answer wrong.
-        signature = self._signature(leg)
-        known = map(self._signature, self._parts.values())
-        return leg.reply.status == 200 and signature not in known
+        is_new = self._signature(leg) not in self._signatures
+        return leg.reply.status == 200 and is_new
 
     def _signature(self, leg: leg_lib.Leg) -> bytes:
         return leg.reply.fields[self._dialect.signature]
--- a/auburnway/gateway/leg_test.py
+++ b/auburnway/gateway/leg_test.py
@@ -292,11 +292,11 @@
 
 
 def test_servers_that_all_failed_make_a_shard_doubtful():
-    rig = Rig(shards=("a",), gather=None)
+    rig = Rig(shards=("a",))
     rig.single()
     rig.lose(rig.pool.sent[0])
     rig.lose(rig.pool.sent[1])
-    assert rig.dispatcher.outlook("a", rig.route)[0].is_doubtful
+    assert rig.dispatcher.outlooks(rig.route)["a"][0].is_doubtful
     assert rig.answers[0].reason == "backend_server_lost"
 
 
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -161,10 +161,7 @@
     def _gathered(self, job, on_answer) -> job_lib.Gathered | None:
         """Returns the work on a query; None when it finds no room."""
         route, now_ms = job.route, self._clock.now_ms()
-        outlooks = {
-            shard: self.dispatcher.outlook(shard, route)
-            for shard in route.gather.shards
-        }
+        outlooks = self.dispatcher.outlooks(route)
         shards = shard_admission.plan(
             {shard: outlook for shard, (outlook, _) in outlooks.items()},
             job.target_ms - now_ms,
--- a/auburnway/net/socket_set.py
+++ b/auburnway/net/socket_set.py
@@ -32,6 +32,7 @@
         self._epoll = select.epoll()
         self._poller = poller
         self._callbacks: dict[int, OnReady] = {}
+        self._masks: dict[int, int] = {}
         poller.addReader(self, self._epoll)
 
     def add(self, sock: socket.socket, mask: int, on_ready: OnReady) -> None:
@@ -42,17 +43,24 @@
           mask: `READ`, `WRITE` or both.
           on_ready: Called with the epoll mask that is ready.
         """
-        self._callbacks[sock.fileno()] = on_ready
-        self._epoll.register(sock, mask)
+        descriptor = sock.fileno()
+        self._callbacks[descriptor] = on_ready
+        self._masks[descriptor] = mask
+        self._epoll.register(descriptor, mask)
 
     def change(self, sock: socket.socket, mask: int) -> None:
-        """Changes what is watched."""
-        self._epoll.modify(sock, mask)
+        """Changes what is watched; costs nothing when nothing changes."""
+        descriptor = sock.fileno()
+        if self._masks[descriptor] != mask:
+            self._masks[descriptor] = mask
+            self._epoll.modify(descriptor, mask)
 
     def remove(self, sock: socket.socket) -> None:
         """Stops to watch a socket that is about to be closed."""
-        if self._callbacks.pop(sock.fileno(), None) is not None:
-            self._epoll.unregister(sock)
+        descriptor = sock.fileno()
+        if self._callbacks.pop(descriptor, None) is not None:
+            del self._masks[descriptor]
+            self._epoll.unregister(descriptor)
 
     def close(self) -> None:
         """Ends the set; the sockets stay open."""
--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -106,16 +106,21 @@
 
     def busy(self, now_ms: float) -> float:
         """Returns the requests that run or wait there, as far as known."""
-        age_ms = now_ms - self.load_ms
-        fresh = max(1 - age_ms / LOAD_VALID_MS, 0.0)
-        return max(len(self.sent_ms), self.load * fresh)
+        own = len(self.sent_ms)
+        if not self.load:
+            return own
+        fresh = 1 - (now_ms - self.load_ms) / LOAD_VALID_MS
+        reported = self.load * fresh
+        return reported if reported > own else own
 
     def queue_factor(self, now_ms: float) -> float:
         """Returns by how much the work before it lengthens a request."""
-        busy = self.busy(now_ms)
-        waiting = max(busy + 1 - self.slots, 0.0)
-        filled = min(busy / self.slots, 1.0)
-        return 1 + waiting / self.slots + FULL_SLOTS_FACTOR * filled
+        busy, slots = self.busy(now_ms), self.slots
+        filled = busy / slots if busy < slots else 1.0
+        factor = 1 + FULL_SLOTS_FACTOR * filled
+        if busy + 1 > slots:
+            factor += (busy + 1 - slots) / slots
+        return factor
 
     def expected_ms(self, now_ms: float, base_ms: float) -> float:
         """Returns the expected time of one more request.
@@ -125,12 +130,13 @@
           base_ms: Time that this kind of request takes on an idle server.
         """
         slowness = self._faded(self.slowness, 1.0, now_ms)
-        if now_ms < self.cold_until_ms:
-            slowness = max(slowness, COLD_FACTOR)
+        if now_ms < self.cold_until_ms and slowness < COLD_FACTOR:
+            slowness = COLD_FACTOR
         expected_ms = base_ms * slowness * self.queue_factor(now_ms)
         if self.sent_ms:
-            stands_ms = now_ms - self.sent_ms[0]
-            expected_ms += max(stands_ms - 2 * expected_ms, 0.0)
+            excess_ms = now_ms - self.sent_ms[0] - 2 * expected_ms
+            if excess_ms > 0:
+                expected_ms += excess_ms
         return expected_ms
 
     def cost_ms(self, now_ms: float, base_ms: float) -> float:
