Send clients to as many entries as the load takes

The logs show shards that stand for 78 ms with one send, at entries that see 0.7 queries a second: each entry has 1/69 of the slack of a window, and earns a hedge for a shard each five seconds. In all, 2,112 of about 30,000 allowed extra sends were used.

Change: entries tell control their load, and the directory names the entries that the whole load takes, at least three a data centre; budget and connections are shared by these.

--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -60,6 +60,7 @@
     Attributes:
       pool: Connections.
       counts: Numbers of hedges and retries.
+      started_count: Number of sub-requests, hedges and retries left out.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
     ):
         self.timers = loop.timers
         self.counts = {"hedge": 0, "hedge_denied": 0, "retry": 0}
+        self.started_count = 0
         self.now_ms = loop.clock.now_ms
         self._settings = settings
         self._dialect = dialect
@@ -110,10 +112,15 @@
             if service in self._limits
         }
 
+    def on_start(self, service: str) -> None:
+        """Counts the first send of a sub-request."""
+        self.started_count += 1
+        self.budget(service).on_sub_request()
+
     def budget(self, service: str) -> retry_budget.Budget:
         """Returns the budget for extra sends to a service."""
         budget = self._budgets.get(service)
-        entries = self._feed.entry_count or UNKNOWN_ENTRIES
+        entries = self._feed.entries.active_count or UNKNOWN_ENTRIES
         slack = self._settings.retry_slack / entries
         burst = max(BURST_USE * slack, 1.0)
         if budget is None:
@@ -211,7 +218,7 @@
         )
 
     def _connection_limit(self, service: str) -> int:
-        entries = self._feed.entry_count or UNKNOWN_ENTRIES
+        entries = self._feed.entries.active_count or UNKNOWN_ENTRIES
         return max(self._limits.get(service, 1) // (entries + 1), 1)
 
     def payload(
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -14,21 +14,19 @@
 from auburnway.core import route_table
 from auburnway.core import server_table
 from auburnway.gateway import dialect as dialect_lib
+from auburnway.gateway import entry_list
 from auburnway.gateway import settings as settings_lib
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
+from auburnway.policy import entry_selection
 from auburnway.registrar import messages
 from auburnway.registrar import revision_machine
 
 # A control instance that was asked for a configuration and has not sent it
 # by then is passed over.
 FETCH_TIMEOUT_MS = 400.0
-# How long an entry stays listed after the last control instance that heard
-# it was lost or no longer lists it.
-LISTED_MS = 2_000.0
 PURGE_MS = 10_000.0
-COUNT_MS = 100.0
 
 
 class Feed:
@@ -44,7 +42,9 @@
     Attributes:
       table: Backend servers.
       configuration: Newest known configuration; None before the first.
+      entries: Entries that clients may use.
       is_ready: What is told of this entry; changed by `announce`.
+      load: What is told of this entry; changed by `tell_load`.
     """
 
     def __init__(
@@ -58,6 +58,7 @@
         self.table = server_table.Table()
         self.configuration: route_table.Configuration | None = None
         self.is_ready = False
+        self.load = 0.0
         self._settings = settings
         self._dialect = dialect
         self._loop = loop
@@ -65,10 +66,7 @@
         self._sockets = sockets
         self._on_configuration = on_configuration
         self._dialers: dict[str, stream_lib.Dialer] = {}
-        self._lists: dict[str, tuple] = {}
-        self._listed_ms: dict[tuple[str, str], float] = {}
-        self._count = 0
-        self._count_until_ms = float("-inf")
+        self.entries = entry_list.EntryList(loop.clock)
         self._wanted_revision = -1
         self._asked: set[str] = set()
         self._seeds = {
@@ -93,41 +91,25 @@
         """Number of control instances with an established stream."""
         return sum(d.stream is not None for d in self._dialers.values())
 
-    @property
-    def entry_count(self) -> int:
-        """Number of listed entries; 0 while no list is known.
-
-        It is asked for with every send, so it may be `COUNT_MS` old.
-        """
-        now_ms = self._clock.now_ms()
-        if now_ms >= self._count_until_ms:
-            self._count = len(self.entries())
-            self._count_until_ms = now_ms + COUNT_MS
-        return self._count
-
-    def entries(self) -> tuple[tuple[str, str], ...]:
-        """Returns address and data centre of the entries for clients."""
-        now_ms = self._clock.now_ms()
-        for entries in self._lists.values():
-            for entry in entries:
-                self._listed_ms[entry] = now_ms
-        if self._lists:
-            for entry, listed_ms in tuple(self._listed_ms.items()):
-                if now_ms - listed_ms > LISTED_MS:
-                    del self._listed_ms[entry]
-        return tuple(sorted(self._listed_ms))
-
-    def forget_entry(self, address: str) -> None:
-        """Takes an entry off the list at once."""
-        for entry in tuple(self._listed_ms):
-            if entry[0] == address:
-                del self._listed_ms[entry]
-
     def announce(self, is_ready: bool) -> None:
         """Tells all control instances whether clients should be sent here."""
         if is_ready == self.is_ready:
             return
         self.is_ready = is_ready
+        self._tell_state()
+
+    def tell_load(self, load: float) -> None:
+        """Tells all control instances the load of this entry, if it is news.
+
+        Args:
+          load: Part of the processor that requests take.
+        """
+        told = entry_selection.told_load(self.load, load)
+        if told != self.load:
+            self.load = told
+            self._tell_state()
+
+    def _tell_state(self) -> None:
         for dialer in self._dialers.values():
             if dialer.stream is not None:
                 self._send_state(dialer.stream)
@@ -162,13 +144,14 @@
         del stream
         loguru.logger.bind(control=address).warning("lost a control instance")
         self.table.drop_control(address)
-        self._lists.pop(address, None)
+        self.entries.drop(address)
 
     def _send_state(self, stream: stream_lib.Stream) -> None:
         state = messages.EntryState(
             self._settings.client_address,
             self._settings.data_center,
             self.is_ready,
+            self.load,
         )
         stream.send(messages.encode(state))
 
@@ -207,8 +190,8 @@
 
     def on_entries(self, entries: messages.Entries, address: str) -> None:
         """Takes the entries that a control instance hears."""
-        self.entries()
-        self._lists[address] = tuple(map(tuple, entries.entries))
+        listed = (entry_selection.Entry(*pair) for pair in entries.entries)
+        self.entries.put(address, listed, entries.load)
 
     def on_revision(self, revision: messages.Revision, address: str) -> None:
         """Fetches a newer configuration from the first that names it."""
--- a/auburnway/gateway/leg.py
+++ b/auburnway/gateway/leg.py
@@ -133,7 +133,7 @@
 
     def start(self) -> None:
         """Sends the request for the first time."""
-        self._dispatcher.budget(self.service).on_sub_request()
+        self._dispatcher.on_start(self.service)
         self._send()
 
     def cancel(self) -> None:
--- a/auburnway/gateway/leg_test.py
+++ b/auburnway/gateway/leg_test.py
@@ -65,7 +65,9 @@
         for shard in shards:
             for i in range(servers):
                 table.put(_row(shard, i), 0.0)
-        self.feed = types.SimpleNamespace(table=table, entry_count=1)
+        self.feed = types.SimpleNamespace(
+            table=table, entries=types.SimpleNamespace(active_count=1)
+        )
         self.dispatcher = dispatcher_lib.Dispatcher(
             SETTINGS,
             DIALECT,
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -15,6 +15,7 @@
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import web_server
+from auburnway.policy import entry_selection
 from auburnway.policy import shard_admission
 
 # Deadline of a request that states none is its route's time-out.
@@ -24,6 +25,34 @@
 REFUSE_SHARE = 0.45
 END_SHARE = 0.9
 DRAIN_CHECK_MS = 100.0
+# Period in which the load is measured, and weight of the newest measure.
+LOAD_PERIOD_MS = 500.0
+LOAD_WEIGHT = 0.2
+
+
+class _LoadMeter:
+    """Moving average of the part of the processor that requests take."""
+
+    def __init__(self, cores: float):
+        self._cores = cores
+        self._load = 0.0
+        self._started = 0
+        self._measured_ms: float | None = None
+
+    def update(self, started: int, now_ms: float) -> float:
+        """Returns the load.
+
+        Args:
+          started: Sub-requests since the start of the process.
+          now_ms: Present instant.
+        """
+        if self._measured_ms is not None and now_ms > self._measured_ms:
+            passed_s = (now_ms - self._measured_ms) / 1000.0
+            rate = (started - self._started) / passed_s
+            load = entry_selection.load(rate, self._cores)
+            self._load += LOAD_WEIGHT * (load - self._load)
+        self._started, self._measured_ms = started, now_ms
+        return self._load
 
 
 class Node:
@@ -68,6 +97,10 @@
             self._on_request,
         )
         loop.stack.callback(self.front.close)
+        self._load = _LoadMeter(
+            settings.processor_share * settings.processor_cores
+        )
+        loop.timers.every(LOAD_PERIOD_MS, self._tell_load)
         self._removed_own = {
             *job_lib.HOP_HEADERS,
             b"content-length",
@@ -87,11 +120,14 @@
         Args:
           data_center: Data centre of the client.
         """
-        entries = self.feed.entries()
-        near = [a for a, place in entries if place == data_center]
-        chosen = near if len(near) >= 2 else [a for a, _ in entries]
+        entries = self.feed.entries.active()
+        near = [e for e in entries if e.data_center == data_center]
+        chosen = [e.address for e in (near if len(near) >= 2 else entries)]
         if not chosen and self.is_ready:
             chosen = [self._settings.client_address]
+        limit = self._settings.address_limit
+        if len(chosen) > limit:
+            chosen = self._rng.sample(chosen, limit)
         return tuple(chosen)
 
     def stop(self) -> None:
@@ -99,7 +135,7 @@
         self._stopping_ms = self._clock.now_ms()
         loguru.logger.info("stopping")
         self.feed.announce(False)
-        self.feed.forget_entry(self._settings.client_address)
+        self.feed.entries.forget(self._settings.client_address)
         self.front.closes_after_reply = True
         self._loop.timers.every(DRAIN_CHECK_MS, self._check_drain)
 
@@ -112,6 +148,10 @@
             loguru.logger.bind(open=self.front.busy_count).info("stopped")
             self._loop.stop()
 
+    def _tell_load(self) -> None:
+        started = self.dispatcher.started_count
+        self.feed.tell_load(self._load.update(started, self._clock.now_ms()))
+
     def _configure(self, configuration: route_table.Configuration) -> None:
         self._matcher = route_table.Matcher(configuration)
         limits = configuration.limits
--- a/auburnway/gateway/settings.py
+++ b/auburnway/gateway/settings.py
@@ -49,6 +49,17 @@
         1_000.0,
         low=100,
     )
+    address_limit: int = settings_lib.setting(
+        "Greatest number of entries that an answer of the directory names.",
+        64,
+        low=1,
+    )
+    processor_share: float = settings_lib.setting(
+        "Part of each core that this process may use.", 1.0, low=0.001, high=1
+    )
+    processor_cores: float = settings_lib.setting(
+        "Cores of the instance, as a factor of speed.", 1.0, low=0.01
+    )
     client_delay_ms: float = settings_lib.setting(
         "Time that an answer spends between client and entry, to be kept free"
         " of a route's latency objective, in ms; two round trips, as a client"
--- a/auburnway/registrar/messages.py
+++ b/auburnway/registrar/messages.py
@@ -48,11 +48,13 @@
       address: Address for clients.
       data_center: Data centre that it runs in.
       is_ready: Whether clients should be sent to it.
+      load: Part of its processor that requests take.
     """
 
     address: str
     data_center: str
     is_ready: bool
+    load: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,9 +63,11 @@
 
     Attributes:
       entries: Pairs of address and data centre.
+      load: Sum of their loads.
     """
 
     entries: tuple[tuple[str, str], ...]
+    load: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -118,7 +118,7 @@
         self._dialers: dict[str, stream_lib.Dialer] = {}
         self._heard_ms: dict[str, float] = {}
         self._entries: dict[stream_lib.Stream, messages.EntryState] = {}
-        self._sent_entries: tuple = ()
+        self._sent_entries: messages.Entries | None = None
         self._sent_revision = -1
         self.consensus = consensus.Node(
             identity,
@@ -316,9 +316,8 @@
             stream.send(messages.encode(known))
             heard = messages.Heard(tuple(self._heard_ms), True)
             stream.send(messages.encode(heard))
-            if self._sent_entries:
-                entries = messages.Entries(self._sent_entries)
-                stream.send(messages.encode(entries))
+            if self._sent_entries is not None:
+                stream.send(messages.encode(self._sent_entries))
             revision = self.consensus.state.revision
             if revision >= 0:
                 stream.send(messages.encode(messages.Revision(revision)))
@@ -383,17 +382,14 @@
     def _push_entries(self) -> None:
         if self._clock.now_ms() - self._started_ms < FIRST_LIST_MS:
             return
-        entries = tuple(
-            sorted(
-                (state.address, state.data_center)
-                for state in self._entries.values()
-                if state.is_ready
-            )
+        ready = [s for s in self._entries.values() if s.is_ready]
+        entries = messages.Entries(
+            tuple(sorted((s.address, s.data_center) for s in ready)),
+            round(sum(s.load for s in self._entries.values()), 3),
         )
         if entries != self._sent_entries:
             self._sent_entries = entries
-            message = messages.Entries(entries)
-            self._push(stream_lib.pack(messages.encode(message)))
+            self._push(stream_lib.pack(messages.encode(entries)))
 
     def _push(self, frame: bytes) -> None:
         for stream in tuple(self._entries):
