Tell entries what changed in the list of entries, and loads rarely

A load that fades was told again and again, each time with the whole list to 69 entries by six control instances. A rolling restart sends the whole list for each entry that leaves or returns as well.

An entry is sent all that is known when it joins the set that gets the news, so that nothing falls in between.

--- a/auburnway/gateway/entry_list.py
+++ b/auburnway/gateway/entry_list.py
@@ -50,6 +50,17 @@
         self._lists[control] = tuple(entries)
         self._loads[control] = load
 
+    def change(
+        self,
+        control: str,
+        added: abc.Iterable[entry_selection.Entry],
+        removed: abc.Iterable[entry_selection.Entry],
+        load: float,
+    ) -> None:
+        """Takes what has changed in the list of a control instance."""
+        known = set(self._lists.get(control, ()))
+        self.put(control, known.difference(removed).union(added), load)
+
     def drop(self, control: str) -> None:
         """Forgets the list of a control instance that was lost."""
         self._refresh()
--- a/auburnway/gateway/entry_list_test.py
+++ b/auburnway/gateway/entry_list_test.py
@@ -21,6 +21,13 @@
     assert entries.active_count == 3
 
 
+def test_changes_apply_to_the_list_of_their_control_instance():
+    clock, entries = listed()
+    entries.change("c1", (C,), (A, B), 0.2)
+    clock.advance(entry_list_lib.LISTED_MS + 1)
+    assert set(entries.entries()) == {B, C}
+
+
 def test_entry_that_nobody_lists_is_dropped_after_a_time():
     clock, entries = listed()
     entries.put("c1", (B,), 0.1)
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -190,8 +190,14 @@
 
     def on_entries(self, entries: messages.Entries, address: str) -> None:
         """Takes the entries that a control instance hears."""
-        listed = (entry_selection.Entry(*pair) for pair in entries.entries)
-        self.entries.put(address, listed, entries.load)
+        self.entries.put(address, _decode(entries.entries), entries.load)
+
+    def on_entries_changed(
+        self, changed: messages.EntriesChanged, address: str
+    ) -> None:
+        """Takes what has changed in the list of a control instance."""
+        added, removed = _decode(changed.added), _decode(changed.removed)
+        self.entries.change(address, added, removed, changed.load)
 
     def on_revision(self, revision: messages.Revision, address: str) -> None:
         """Fetches a newer configuration from the first that names it."""
@@ -254,6 +260,10 @@
             dialer.close()
 
 
+def _decode(pairs) -> tuple[entry_selection.Entry, ...]:
+    return tuple(entry_selection.Entry(*pair) for pair in pairs)
+
+
 @functools.singledispatch
 def _take(message, address: str, feed: Feed) -> None:
     """Handles a message of a control instance; others are ignored."""
@@ -279,6 +289,11 @@
     feed.on_entries(message, address)
 
 
+@_take.register
+def _(message: messages.EntriesChanged, address, feed) -> None:
+    feed.on_entries_changed(message, address)
+
+
 @_take.register
 def _(message: messages.Revision, address, feed) -> None:
     feed.on_revision(message, address)
--- a/auburnway/policy/entry_selection.py
+++ b/auburnway/policy/entry_selection.py
@@ -21,6 +21,8 @@
 # Entries of a data centre that are named whatever the load: when one is lost,
 # its clients have two others until they ask again.
 LEAST_PER_DATA_CENTER = 3
+# A smaller load counts as none.
+LEAST_LOAD = 0.005
 # The load that is told falls only when the real one is below this part of it.
 KEEP_SHARE = 0.5
 # The load that is told exceeds the real one by this factor, so that a slow
@@ -58,9 +60,11 @@
       told: Load that they were told last.
       present: Sum of their loads now.
     """
+    if present < LEAST_LOAD:
+        return 0.0
     if KEEP_SHARE * told <= present <= told:
         return told
-    return HEADROOM * present
+    return round(HEADROOM * present, 3)
 
 
 def active(
--- a/auburnway/policy/entry_selection_test.py
+++ b/auburnway/policy/entry_selection_test.py
@@ -53,7 +53,13 @@
 
 @pytest.mark.parametrize(
     ("told", "present", "expected"),
-    [(0.0, 1.0, 1.3), (1.3, 1.2, 1.3), (1.3, 0.7, 1.3), (1.3, 0.5, 0.65)],
+    [
+        (0.0, 1.0, 1.3),
+        (1.3, 1.2, 1.3),
+        (1.3, 0.7, 1.3),
+        (1.3, 0.5, 0.65),
+        (0.1, 1e-3, 0.0),
+    ],
 )
 def test_told_load_rises_at_once_and_falls_late(told, present, expected):
     found = entry_selection.told_load(told, present)
--- a/auburnway/registrar/messages.py
+++ b/auburnway/registrar/messages.py
@@ -59,7 +59,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entries:
-    """Ready entries that the sending control instance hears.
+    """All ready entries that the sending control instance hears.
 
     Attributes:
       entries: Pairs of address and data centre.
@@ -70,6 +70,21 @@
     load: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class EntriesChanged:
+    """What has changed since the last list to the same process.
+
+    Attributes:
+      added: Pairs of address and data centre.
+      removed: Likewise.
+      load: Sum of the loads of all listed entries.
+    """
+
+    added: tuple[tuple[str, str], ...]
+    removed: tuple[tuple[str, str], ...]
+    load: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Revision:
     """Number of the configuration that the sender knows to be in force."""
@@ -116,6 +131,7 @@
     | Heard
     | EntryState
     | Entries
+    | EntriesChanged
     | Revision
     | Fetch
     | Document
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -23,6 +23,7 @@
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
+from auburnway.registrar import entry_states
 from auburnway.registrar import folder
 from auburnway.registrar import messages
 from auburnway.registrar import revision_machine
@@ -117,8 +118,7 @@
         self._started_ms = self._clock.now_ms()
         self._dialers: dict[str, stream_lib.Dialer] = {}
         self._heard_ms: dict[str, float] = {}
-        self._entries: dict[stream_lib.Stream, messages.EntryState] = {}
-        self._sent_entries: messages.Entries | None = None
+        self._entries = entry_states.EntryStates()
         self._sent_revision = -1
         self.consensus = consensus.Node(
             identity,
@@ -299,7 +299,7 @@
         _take(message, stream, self)
 
     def _on_lost(self, stream: stream_lib.Stream) -> None:
-        if self._entries.pop(stream, None) is not None:
+        if self._entries.drop(stream):
             loguru.logger.bind(entry=str(stream.context)).warning(
                 "lost the stream of an entry"
             )
@@ -310,25 +310,33 @@
     ) -> None:
         """Greets a process that has connected."""
         stream.context = hello.name
-        self._send_table(stream)
-        if hello.kind == "entry":
-            known = messages.Controls(self.address, self._control_addresses())
-            stream.send(messages.encode(known))
-            heard = messages.Heard(tuple(self._heard_ms), True)
-            stream.send(messages.encode(heard))
-            if self._sent_entries is not None:
-                stream.send(messages.encode(self._sent_entries))
-            revision = self.consensus.state.revision
-            if revision >= 0:
-                stream.send(messages.encode(messages.Revision(revision)))
+        if hello.kind == "control":
+            self._send_table(stream)
 
     def on_entry_state(
         self, state: messages.EntryState, stream: stream_lib.Stream
     ) -> None:
         """Takes what an entry says of itself."""
-        if self._entries.get(stream) != state:
-            self._entries[stream] = state
+        is_new = stream not in self._entries
+        if self._entries.put(stream, state):
             self._push_entries()
+        if is_new:
+            self._send_all(stream)
+
+    def _send_all(self, stream: stream_lib.Stream) -> None:
+        """Sends an entry all that is known; from now on it gets the news."""
+        self._send_table(stream)
+        known = [
+            messages.Controls(self.address, self._control_addresses()),
+            messages.Heard(tuple(self._heard_ms), True),
+            self._entries.whole(),
+        ]
+        revision = self.consensus.state.revision
+        if revision >= 0:
+            known.append(messages.Revision(revision))
+        for message in known:
+            if message is not None:
+                stream.send(messages.encode(message))
 
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows and passes on those that are news to the entries."""
@@ -382,17 +390,12 @@
     def _push_entries(self) -> None:
         if self._clock.now_ms() - self._started_ms < FIRST_LIST_MS:
             return
-        ready = [s for s in self._entries.values() if s.is_ready]
-        entries = messages.Entries(
-            tuple(sorted((s.address, s.data_center) for s in ready)),
-            round(sum(s.load for s in self._entries.values()), 3),
-        )
-        if entries != self._sent_entries:
-            self._sent_entries = entries
-            self._push(stream_lib.pack(messages.encode(entries)))
+        message = self._entries.news()
+        if message is not None:
+            self._push(stream_lib.pack(messages.encode(message)))
 
     def _push(self, frame: bytes) -> None:
-        for stream in tuple(self._entries):
+        for stream in self._entries.streams():
             stream.send_packed(frame)
 
     # Periodic work.
