Avoid servers that reject, and let a retry wait for the budget

The ranking prices a rejection at two base times whether or not a retry can be paid.

Change: the price of a likely rejection rises to eight base times as the budget empties, and a retry without a token waits for one until the latency objective.

The new tests fail before.

Failed try, reverted: hedges at 1.6 instead of 2.5 times the expected time while the budget is full.

--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -72,7 +72,9 @@
         feed: feed_lib.Feed,
     ):
         self.timers = loop.timers
-        self.counts = {"hedge": 0, "hedge_denied": 0, "retry": 0}
+        self.counts = dict.fromkeys(
+            ("hedge", "hedge_denied", "retry", "retry_denied"), 0
+        )
         self.started_count = 0
         self.now_ms = loop.clock.now_ms
         self._settings = settings
@@ -150,6 +152,11 @@
         best = self._best(service, tried, self.now_ms(), base_ms)
         return self._feed.table.get(best.key) if best is not None else None
 
+    def has_untried(self, service: str, tried: abc.Set[str]) -> bool:
+        """Whether a server is known that was not tried yet."""
+        rows = self._feed.table.servers(service)
+        return any(row.server_id not in tried for row in rows)
+
     def has_room(
         self, service: str, route: route_table.Route, tried: abc.Set[str]
     ) -> bool:
@@ -202,7 +209,10 @@
             for row in self._feed.table.servers(service)
             if row.server_id not in tried
         ]
-        return server_choice.choose(candidates, now_ms, base_ms, self._rng)
+        fill = self.budget(service).fill(now_ms)
+        return server_choice.choose(
+            candidates, now_ms, base_ms, self._rng, fill
+        )
 
     def _candidate(
         self, row: server_table.Row, connection_limit: int
--- a/auburnway/gateway/leg.py
+++ b/auburnway/gateway/leg.py
@@ -21,6 +21,8 @@
 
 # A hedge that found no free server or no budget is tried again after it.
 HEDGE_RECHECK_MS = 10.0
+# A retry that found no budget is tried again after it.
+RETRY_RECHECK_MS = 5.0
 # When all connections that this entry may have are in use, one is looked for
 # again after it.
 CONNECTION_RECHECK_MS = 5.0
@@ -229,12 +231,27 @@
         ).debug("a send did not succeed")
         if verdict is attempts_lib.Verdict.FAILED:
             self.reply = reply
-        if self._rules.may_retry() and dispatcher.budget(
-            self.service
-        ).try_spend(now_ms):
+        self._retry()
+
+    def _retry(self) -> None:
+        """Sends again after a send that did not succeed, if it may."""
+        if self.outcome is not None:
+            return
+        dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
+        may_retry = self._rules.may_retry() and dispatcher.has_untried(
+            self.service, self._tried()
+        )
+        if may_retry and dispatcher.budget(self.service).try_spend(now_ms):
             dispatcher.counts["retry"] += 1
             self._send()
-        elif not self._pending():
+        elif self._pending():
+            return
+        elif may_retry and now_ms < self._job.target_ms:
+            # Other requests earn for the budget meanwhile. A wait beyond the
+            # objective would take what they earn from those still in time.
+            dispatcher.counts["retry_denied"] += 1
+            dispatcher.timers.after(RETRY_RECHECK_MS, self._retry)
+        else:
             self._end_without_reply()
 
     def _pending(self) -> bool:
--- a/auburnway/gateway/leg_test.py
+++ b/auburnway/gateway/leg_test.py
@@ -1,5 +1,7 @@
 """Legs, gathered and single requests over a pool that tests answer by hand."""
 
+import dataclasses
+import random
 import types
 
 import pytest
@@ -312,3 +314,71 @@
     rig.answer(rig.pool.sent[0])
     rig.dispatcher.forget_gone()
     assert rig.dispatcher._seen == {}
+
+
+def test_retry_waits_for_the_budget():
+    # Guards against a query that fails because a shard's server rejected it
+    # in the instant in which the budget was empty.
+    rig = Rig(shards=("a",), gather=None)
+    budget = rig.dispatcher.budget("a")
+    while budget.try_spend(rig.clock.now_ms()):
+        pass
+    rig.single()
+    rig.reject(rig.pool.sent[0])
+    assert rig.answers == []
+    # The share of other requests fills the budget again.
+    for _ in range(7):
+        budget.on_sub_request()
+    rig.advance(10)
+    assert len(rig.pool.sent) == 2
+    rig.answer(rig.pool.sent[1])
+    assert rig.answers[0].status == 200
+
+
+def test_retry_without_budget_ends_at_the_objective():
+    # Guards against late requests that take the budget from those in time.
+    rig = Rig(shards=("a",), gather=None)
+    budget = rig.dispatcher.budget("a")
+    budget.set_burst(0.5, 0.0)
+    rig.single()
+    rig.reject(rig.pool.sent[0])
+    rig.advance(90)
+    assert rig.answers == []
+    rig.advance(20)
+    assert rig.answers[0].status == 503
+    assert len(rig.pool.sent) == 1
+
+
+def test_rejecting_servers_are_left_to_the_others_when_the_budget_is_spent():
+    # Plays a load in which two of three servers reject half of the requests,
+    # while the budget bears a fifth. Rejected without budget, a shard is lost.
+    rng = random.Random(1)
+    rig = Rig(shards=("a",), servers=3, gather=None)
+    rig.dispatcher.budget("a").set_burst(2.0, 0.0)
+    verdicts, done = [], set()
+    for step in range(600):
+        now_ms = rig.clock.now_ms()
+        rig.job = dataclasses.replace(
+            rig.job,
+            started_ms=now_ms,
+            target_ms=now_ms + 100,
+            deadline_ms=now_ms + 1000,
+        )
+        for _ in range(rng.choice((0, 0, 1, 4))):
+            rig.single()
+        rig.advance(10)
+        for i, call in enumerate(rig.pool.sent):
+            if i == len(verdicts):
+                is_good = call.address.startswith("a2") or rng.random() < 0.5
+                verdicts.append((is_good, step))
+            is_good, sent_at = verdicts[i]
+            if i in done or call.cancelled:
+                continue
+            if not is_good:
+                done.add(i)
+                rig.reject(call)
+            elif step - sent_at >= 2:
+                done.add(i)
+                rig.answer(call)
+    # One server that rejects nothing has room for all of them.
+    assert {answer.status for answer in rig.answers} == {200}
--- a/auburnway/policy/retry_budget.py
+++ b/auburnway/policy/retry_budget.py
@@ -87,6 +87,11 @@
             self._tokens = min(tokens, self._burst)
         self._refilled_ms = now_ms
 
+    def fill(self, now_ms: float) -> float:
+        """Returns the tokens that are left, as a share of the greatest."""
+        self._refill(now_ms)
+        return self._tokens / self._burst
+
     def set_burst(self, burst: float, refill_per_s: float) -> None:
         """Changes the greatest number of tokens kept and the refill."""
         self._burst = burst
--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -29,8 +29,10 @@
 FULL_SLOTS_FACTOR = 0.2
 # Slowness of a server that has just started.
 COLD_FACTOR = 1.5
-# Base times that a rejection costs: the retry and its part of the budget.
+# Base times that a rejection costs: the retry and its part of the budget. When
+# the budget is spent there is no retry, and the shard is missing.
 REJECTION_COST = 2.0
+SPENT_REJECTION_COST = 8.0
 # Share of the expected time by which equal servers are told apart.
 JITTER = 0.1
 
@@ -139,11 +141,22 @@
                 expected_ms += excess_ms
         return expected_ms
 
-    def cost_ms(self, now_ms: float, base_ms: float) -> float:
-        """Returns the expected time with the price of a likely rejection."""
+    def cost_ms(
+        self, now_ms: float, base_ms: float, budget_fill: float = 1.0
+    ) -> float:
+        """Returns the expected time with the price of a likely rejection.
+
+        Args:
+          now_ms: Present instant.
+          base_ms: As for `expected_ms`.
+          budget_fill: Part of the retry budget that is left.
+        """
+        cost_ms = self.expected_ms(now_ms, base_ms)
         rejections = self._faded(self.rejections, 0.0, now_ms)
-        price_ms = REJECTION_COST * base_ms * rejections
-        return self.expected_ms(now_ms, base_ms) + price_ms
+        if rejections:
+            spent = (1 - budget_fill) * (SPENT_REJECTION_COST - REJECTION_COST)
+            cost_ms += (REJECTION_COST + spent) * base_ms * rejections
+        return cost_ms
 
     def _end(self, sent_ms: float) -> None:
         if sent_ms in self.sent_ms:
@@ -185,6 +198,7 @@
     now_ms: float,
     base_ms: float,
     rng: random.Random,
+    budget_fill: float = 1.0,
 ) -> Candidate | None:
     """Returns the best candidate; None without candidates.
 
@@ -193,12 +207,13 @@
       now_ms: Present instant.
       base_ms: Time that this kind of request takes on an idle server.
       rng: Tells equal servers apart.
+      budget_fill: Part of the retry budget that is left.
     """
 
     def rank(candidate: Candidate):
         server = candidate.server
         avoided = now_ms < server.avoid_until_ms
-        cost_ms = server.cost_ms(now_ms, base_ms)
+        cost_ms = server.cost_ms(now_ms, base_ms, budget_fill)
         cost_ms *= 1 + JITTER * rng.random()
         doubt = avoided or candidate.is_doubtful
         return (doubt, cost_ms + candidate.extra_ms)
