Serve metrics in the deployment, without a cost at the start

Cause: the deployment left metrics off, as the exporter's imports take as long as the rest of a starting process (0.25 s of processor here, prometheus_client alone 0.09 s).

Change: the pass-through processes keep counts and histograms in plain numbers under the same names, and import prometheus_client with the first scrape.

--- a/auburnway/gateway/telemetry.py
+++ b/auburnway/gateway/telemetry.py
@@ -1,12 +1,8 @@
-"""Metrics of an entry, recorded only when an address for them is set.
-
-The library takes about as long to import as all the rest of the entry, so a
-deployment without a scraper does not load it.
-"""
+"""Metrics of an entry."""
 
 import typing
 
-from auburnway.kernel import metrics as metrics_lib
+from auburnway.kernel import plain_metrics
 
 if typing.TYPE_CHECKING:
     from auburnway.gateway import node as node_lib
@@ -21,7 +17,7 @@
     """
 
     def __init__(self, node: "node_lib.Node", dropped_lines):
-        self._metrics = metrics_lib.Metrics("entry")
+        self._metrics = plain_metrics.Metrics("entry")
         self._answers = self._metrics.counter(
             "answers", "Answers by rank, status and reason."
         )
@@ -74,7 +70,3 @@
     def text(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         return self._metrics.text()
-
-    def close(self) -> None:
-        """Shuts the provider down."""
-        self._metrics.close()
--- /dev/null
+++ b/auburnway/kernel/plain_metrics.py
@@ -0,0 +1,170 @@
+"""Metrics that cost a starting process nothing until they are read.
+
+It has the interface of `metrics`. OpenTelemetry takes longer to import than all
+the rest of a pass-through process, which has to serve again within a fraction
+of a second after a restart. Here values are kept in plain numbers, and
+prometheus_client, the library beneath the exporter of `metrics`, is imported
+with the first scrape. Names and text are the same.
+"""
+
+import bisect
+from collections import abc
+import dataclasses
+import itertools
+
+LATENCY_BOUNDS_S = (
+    0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12,
+)  # fmt: skip
+
+Attributes = abc.Mapping[str, str | int]
+Key = tuple[tuple[str, str | int], ...]
+
+
+def _key(attributes: Attributes) -> Key:
+    return tuple(attributes.items())
+
+
+class Counter:
+    """A count by attributes."""
+
+    def __init__(self, name: str, description: str):
+        self.name = name
+        self.description = description
+        self.values: dict[Key, float] = {}
+
+    def add(self, amount: float, attributes: Attributes) -> None:
+        """Adds to the count of these attributes."""
+        key = _key(attributes)
+        self.values[key] = self.values.get(key, 0) + amount
+
+
+class Histogram:
+    """Durations in seconds by attributes."""
+
+    def __init__(self, name: str, description: str):
+        self.name = name
+        self.description = description
+        # Per attributes: counts by bucket, the last one unbounded, and sum.
+        self.values: dict[Key, tuple[list[int], list[float]]] = {}
+
+    def record(self, seconds: float, attributes: Attributes) -> None:
+        """Records one duration."""
+        key = _key(attributes)
+        found = self.values.get(key)
+        if found is None:
+            found = self.values[key] = (
+                [0] * (len(LATENCY_BOUNDS_S) + 1),
+                [0.0],
+            )
+        counts, total = found
+        counts[bisect.bisect_left(LATENCY_BOUNDS_S, seconds)] += 1
+        total[0] += seconds
+
+
+@dataclasses.dataclass(frozen=True)
+class _Gauge:
+    name: str
+    description: str
+    read: abc.Callable[[], abc.Iterable[tuple[float, Attributes]]]
+
+
+class Metrics:
+    """Instruments of one process.
+
+    Args:
+      process: Kind of process; a label of all values.
+    """
+
+    def __init__(self, process: str):
+        self._process = process
+        self._counters: list[Counter] = []
+        self._histograms: list[Histogram] = []
+        self._gauges: list[_Gauge] = []
+
+    def duration(self, name: str, description: str) -> Histogram:
+        """Returns a histogram of seconds."""
+        made = Histogram(
+            f"auburnway_{_plain(name)}_duration_seconds", description
+        )
+        self._histograms.append(made)
+        return made
+
+    def counter(self, name: str, description: str) -> Counter:
+        """Returns a counter."""
+        made = Counter(f"auburnway_{_plain(name)}", description)
+        self._counters.append(made)
+        return made
+
+    def gauge(
+        self,
+        name: str,
+        description: str,
+        read: abc.Callable[[], abc.Iterable[tuple[float, Attributes]]],
+        unit: str = "",
+    ) -> None:
+        """Adds a gauge that is read when the metrics are scraped.
+
+        Args:
+          name: Name without the project's prefix.
+          description: Meaning.
+          read: Returns pairs of value and attributes.
+          unit: Unit that ends the name, as `bytes`; empty for a count.
+        """
+        full = f"auburnway_{_plain(name)}"
+        full = f"{full}_{unit}" if unit else full
+        self._gauges.append(_Gauge(full, description, read))
+
+    def text(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self)
+        return prometheus_client.generate_latest(registry)
+
+    def collect(self) -> abc.Iterator:
+        """Yields the families; called by the library."""
+        from prometheus_client import core
+
+        for counter in self._counters:
+            yield self._fill(
+                core.CounterMetricFamily,
+                counter,
+                [(key, (value,)) for key, value in counter.values.items()],
+            )
+        for histogram in self._histograms:
+            yield self._fill(
+                core.HistogramMetricFamily,
+                histogram,
+                [
+                    (key, (_buckets(counts), total[0]))
+                    for key, (counts, total) in histogram.values.items()
+                ],
+            )
+        for gauge in self._gauges:
+            yield self._fill(
+                core.GaugeMetricFamily,
+                gauge,
+                [(_key(found), (value,)) for value, found in gauge.read()],
+            )
+
+    def _fill(self, family_type, instrument, rows):
+        """Returns a family with the rows, pairs of key and values."""
+        names = [name for name, _ in rows[0][0]] if rows else []
+        family = family_type(
+            instrument.name, instrument.description, labels=["process", *names]
+        )
+        for key, values in rows:
+            labels = [self._process, *(str(value) for _, value in key)]
+            family.add_metric(labels, *values)
+        return family
+
+
+def _plain(name: str) -> str:
+    return name.replace(".", "_")
+
+
+def _buckets(counts: abc.Sequence[int]) -> list[tuple[str, float]]:
+    bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+    below = itertools.accumulate(counts)
+    return list(zip(bounds, below, strict=True))
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -44,6 +44,7 @@
     # Each program imports only what it needs, which saves start-up time.
     from auburnway.gateway import node as node_lib
     from auburnway.gateway import settings as settings_lib
+    from auburnway.gateway import telemetry as telemetry_lib
     from auburnway.net import web_server
     from auburnway.platform import documents
     from auburnway.platform import entry_calls as calls
@@ -67,12 +68,9 @@
             )
             server.on_round_trip = on_round_trip
             loop.stack.callback(server.close)
-    if settings.metrics_address:
-        from auburnway.gateway import telemetry as telemetry_lib
-
-        telemetry = telemetry_lib.Telemetry(node, lambda: writer.dropped_count)
-        node.on_answer = telemetry.on_answer
-        _serve_metrics(settings.metrics_address, telemetry, loop, node.sockets)
+    telemetry = telemetry_lib.Telemetry(node, lambda: writer.dropped_count)
+    node.on_answer = telemetry.on_answer
+    _serve_metrics(settings.metrics_address, telemetry, loop, node.sockets)
     loop.on_stop = node.stop
     loop.on_reload = _log_reload
     loguru.logger.bind(address=settings.client_address).info("entry runs")
@@ -87,6 +85,7 @@
     from auburnway.registrar import folder as folder_lib
     from auburnway.registrar import node as node_lib
     from auburnway.registrar import settings as settings_lib
+    from auburnway.registrar import telemetry as telemetry_lib
     from auburnway.storage import disk as disk_lib
 
     settings = process.load_settings(settings_lib.Settings, options.settings)
@@ -115,11 +114,8 @@
         web_server.Limits(body_bytes=settings.body_bytes),
     )
     loop.stack.callback(server.close)
-    if settings.metrics_address:
-        from auburnway.registrar import telemetry as telemetry_lib
-
-        telemetry = telemetry_lib.Telemetry(node, lambda: writer.dropped_count)
-        _serve_metrics(settings.metrics_address, telemetry, loop, sockets)
+    telemetry = telemetry_lib.Telemetry(node, lambda: writer.dropped_count)
+    _serve_metrics(settings.metrics_address, telemetry, loop, sockets)
     loop.on_stop = node.consensus.leave
     loop.on_reload = _log_reload
     loguru.logger.bind(
@@ -132,6 +128,9 @@
 def _serve_metrics(address: str, telemetry, loop, sockets) -> None:
     from auburnway.net import web_server
 
+    if not address:
+        return
+
     def on_request(request: web_server.Request):
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         request.reply(200, headers, telemetry.text())
@@ -140,7 +139,6 @@
         address, sockets, loop.timers, loop.clock, on_request
     )
     loop.stack.callback(server.close)
-    loop.stack.callback(telemetry.close)
 
 
 def _log_reload() -> None:
--- a/auburnway/registrar/telemetry.py
+++ b/auburnway/registrar/telemetry.py
@@ -1,8 +1,8 @@
-"""Metrics of a control instance, loaded only when an address is set."""
+"""Metrics of a control instance."""
 
 import typing
 
-from auburnway.kernel import metrics as metrics_lib
+from auburnway.kernel import plain_metrics
 
 if typing.TYPE_CHECKING:
     from auburnway.registrar import node as node_lib
@@ -17,7 +17,7 @@
     """
 
     def __init__(self, node: "node_lib.Node", dropped_lines):
-        self._metrics = metrics_lib.Metrics("control")
+        self._metrics = plain_metrics.Metrics("control")
         consensus = node.consensus
         gauge = self._metrics.gauge
         gauge(
@@ -40,7 +40,7 @@
             "consensus.log.size",
             "Size of the log on disk.",
             lambda: [(consensus.log_bytes, {})],
-            unit="By",
+            unit="bytes",
         )
         gauge(
             "entries",
@@ -61,7 +61,3 @@
     def text(self) -> bytes:
         """Returns all metrics as Prometheus text."""
         return self._metrics.text()
-
-    def close(self) -> None:
-        """Shuts the provider down."""
-        self._metrics.close()
