--- a/auburnway/faults/relay.py
+++ b/auburnway/faults/relay.py
@@ -1,12 +1,14 @@
-"""A TCP relay on loopback that can drop either direction in silence.
+"""A TCP relay on loopback that delays, resets or drops in silence.
 
-It stands between an entry and a control process. Connections stay open while
-bytes are dropped, as with a network that loses packets for good.
+It stands between two processes. Connections stay open while bytes are dropped,
+as with a network that loses packets for good.
 """
 
 import contextlib
 import socket
+import struct
 import threading
+import time
 
 CHUNK_BYTES = 65536
 POLL_S = 0.1
@@ -19,6 +21,7 @@
       address: `ip:port` to connect to.
       drops_requests: Whether bytes to the target are dropped.
       drops_replies: Whether bytes from the target are dropped.
+      delay_s: Time for which bytes of either direction are held.
     """
 
     def __init__(self, target: str):
@@ -32,6 +35,8 @@
         self.address = "{}:{}".format(*self._listener.getsockname())
         self.drops_requests = False
         self.drops_replies = False
+        self.delay_s = 0.0
+        self._sockets: set[socket.socket] = set()
         self._is_closed = False
         self._threads: list[threading.Thread] = []
         self._start(self._accept)
@@ -45,6 +50,17 @@
             thread.join()
         self._stack.close()
 
+    def reset(self) -> None:
+        """Resets all open connections."""
+        for one in tuple(self._sockets):
+            try:
+                linger = struct.pack("ii", 1, 0)
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                one.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The connection has ended meanwhile.
+                continue
+
     def _start(self, function, *arguments) -> None:
         thread = threading.Thread(target=function, args=arguments, daemon=True)
         self._threads.append(thread)
@@ -63,6 +79,7 @@
                 continue
             for one in (near, far):
                 one.settimeout(POLL_S)
+                self._sockets.add(one)
             self._start(self._copy, near, far, "drops_requests")
             self._start(self._copy, far, near, "drops_replies")
 
@@ -81,9 +98,12 @@
                 while getattr(self, drops) and not self._is_closed:
                     threading.Event().wait(POLL_S)
                 break
+            if self.delay_s:
+                time.sleep(self.delay_s)
             try:
                 sink.sendall(data)
             except OSError:
                 break
         for one in (source, sink):
+            self._sockets.discard(one)
             one.close()
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -55,6 +55,8 @@
         self.delay_s = 0.0
         self.rejects = False
         self.seen = []
+        # Identity and instant of each request that it began to work on.
+        self.runs = []
         self.cancelled = []
         backend = self
 
@@ -92,6 +94,7 @@
         if self.rejects:
             self._reply(handler, 503, b"", {"Not-Executed": "full"})
             return
+        self.runs.append((request_id, time.monotonic()))
         sent = {k.lower(): v for k, v in handler.headers.items()}
         self.seen.append((request_id, handler.path, sent))
         if self._wait_cancelled(handler.connection):
@@ -160,11 +163,13 @@
             "\n".join(f"{k} = {json.dumps(v)}" for k, v in settings.items())
         )
         self.log_path = self._path.with_suffix(".log")
+        self._log_start = 0
         self.process = None
         self.start()
 
     def start(self):
         with self.log_path.open("ab") as log:
+            self._log_start = log.tell()
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "auburnway.platform", self._program],
                 env={**os.environ, "AUBURNWAY_SETTINGS": str(self._path)},
@@ -172,6 +177,11 @@
                 stderr=log,
             )
 
+    def has_started(self):
+        with self.log_path.open("rb") as log:
+            log.seek(self._log_start)
+            return b' runs"' in log.read()
+
     def stop(self, number=signal.SIGTERM):
         if self.process.poll() is None:
             self.process.send_signal(number)
