--- a/auburnway/kernel/metrics.py
+++ b/auburnway/kernel/metrics.py
@@ -12,9 +12,7 @@
 from opentelemetry.sdk.metrics import view
 import prometheus_client
 
-LATENCY_BOUNDS_S = (
-    0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12,
-)  # fmt: skip
+from auburnway.kernel import plain_metrics
 
 
 class Metrics:
@@ -33,7 +31,7 @@
                 view.View(
                     instrument_name="*.duration",
                     aggregation=view.ExplicitBucketHistogramAggregation(
-                        LATENCY_BOUNDS_S
+                        plain_metrics.LATENCY_BOUNDS_S
                     ),
                 )
             ],
