Decode the platform's names of the soak in the adapter

Cause: the soak's callers and operator spoke the platform's headers, paths and fields, which nothing outside auburnway/platform may know.

Change: testing_clients, beside the stand-in, decodes answers, directory and configuration calls into types; the soak sees those. No check changed: a gathered answer is still judged by its parts only.

The programs are unchanged.

--- a/auburnway/soak/callers.py
+++ b/auburnway/soak/callers.py
@@ -1,17 +1,18 @@
 """Callers of a soak run: each keeps its connection until it ends."""
 
 import http.client
-import json
 import random
 import threading
 import time
 
 from auburnway.platform import testing
+from auburnway.platform import testing_clients
 from auburnway.soak import checks
 
 TIMEOUT_S = 4.0
 DEADLINE_MS = 1500
 PAUSE_S = 0.02
+NO_ANSWER = testing_clients.Answer(0, (), 0, b"", False)
 PATHS = {"safe": "/one/x", "unsafe": "/unsafe/x", "gather": "/all/x"}
 
 
@@ -27,7 +28,7 @@
         self._platform = platform
         self._name = name
         self._rng = random.Random(f"{seed}/{name}")
-        self._connection: http.client.HTTPConnection | None = None
+        self._connection: testing_clients.Connection | None = None
         self._entry = 0
 
     def run(self, stopped: threading.Event) -> None:
@@ -50,63 +51,43 @@
         kind = self._rng.choice(tuple(PATHS))
         request_id = f"{self._name}-{number}"
         sent_s = time.monotonic()
-        status, stamps, missing, body = 0, (), 0, b""
+        answer = NO_ANSWER
         try:
-            status, stamps, missing, body = self._exchange(request_id, kind)
+            answer = self._connection.exchange(
+                request_id,
+                PATHS[kind],
+                request_id.encode(),
+                DEADLINE_MS,
+                is_gathered=kind == "gather",
+            )
         except (OSError, http.client.HTTPException):
             self._connection = None
+        if answer.closes:
+            self._connection = None
         return checks.Call(
             request_id,
             kind,
             self._entry,
             sent_s,
             time.monotonic(),
-            status,
-            stamps,
-            missing,
-            body,
+            answer.status,
+            answer.signatures,
+            answer.missing,
+            answer.body,
             is_reused,
         )
 
-    def _exchange(self, request_id: str, kind: str):
-        headers = {
-            "Host": "h.example",
-            "Request-Id": request_id,
-            "Deadline-Ms": str(DEADLINE_MS),
-        }
-        self._connection.request(
-            "POST", PATHS[kind], request_id.encode(), headers
-        )
-        response = self._connection.getresponse()
-        body = response.read()
-        found = {k.lower(): v for k, v in response.getheaders()}
-        name = "part-stamps" if kind == "gather" else "response-stamp"
-        stamps = tuple(filter(None, found.get(name, "").split(", ")))
-        if response.will_close:
-            self._connection = None
-        missing = int(found.get("missing-parts", 0))
-        return response.status, stamps, missing, body
-
     def _connect(self, entry: int) -> None:
         self._entry = entry
-        machine = self._platform.entries[entry]
-        self._connection = http.client.HTTPConnection(
-            machine.ip, self._platform.FRONT_PORT, timeout=TIMEOUT_S
+        self._connection = testing_clients.Connection(
+            self._platform, entry, TIMEOUT_S
         )
 
     def _choose(self) -> int:
         """Returns the index of an entry that a directory names."""
-        ips = [machine.ip for machine in self._platform.entries]
-        for ip in self._rng.sample(ips, len(ips)):
-            address = f"{ip}:{self._platform.DIRECTORY_PORT}"
-            path = "/auburnway/resolve?Name=h.example&Zone=z"
-            try:
-                status, _, body = testing.call(
-                    address, "GET", path, timeout_s=1.0
-                )
-            except (OSError, http.client.HTTPException):
-                continue
-            if status == 200:
-                named = self._rng.choice(json.loads(body)["addrs"])
-                return ips.index(named.rpartition(":")[0])
-        return self._rng.randrange(len(ips))
+        count = len(self._platform.entries)
+        for directory in self._rng.sample(range(count), count):
+            named = testing_clients.named_entries(self._platform, directory)
+            if named:
+                return self._rng.choice(named)
+        return self._rng.randrange(count)
--- a/auburnway/soak/operator.py
+++ b/auburnway/soak/operator.py
@@ -1,13 +1,11 @@
 """The operator of a soak run: sends versions, and reads them back."""
 
-import http.client
-import itertools
-import json
 import random
 import threading
 import time
 
 from auburnway.platform import testing
+from auburnway.platform import testing_clients
 from auburnway.soak import checks
 
 TIMEOUT_S = 1.0
@@ -51,39 +49,28 @@
     def read_once(self) -> checks.Read | None:
         """Reads the configuration in force; None without a clear answer."""
         sent_s = time.monotonic()
-        got = self._call("GET", "/auburnway/config/get", None)
-        if got is None or got[0] != 200:
+        version = testing_clients.read_version(
+            self._platform, self._any_control(), TIMEOUT_S
+        )
+        if version is None:
             return None
-        version = json.loads(got[2])["Version"]
         read = checks.Read(version, sent_s, time.monotonic())
         self.reads.append(read)
         return read
 
     def _put(self, version: int, stopped: threading.Event) -> bool:
-        body = testing.configuration(version)
         while not stopped.is_set():
             sent_s = time.monotonic()
-            got = self._call("POST", "/auburnway/config/put", body)
-            if got is not None and got[0] == 200:
+            status = testing_clients.send_version(
+                self._platform, self._any_control(), version, TIMEOUT_S
+            )
+            if status == 200:
                 self.acks.append(checks.Read(version, sent_s, time.monotonic()))
                 return True
-            if got is not None and got[0] < 500:
-                raise AssertionError(f"version {version} was refused: {got}")
+            if status is not None and status < 500:
+                raise AssertionError(f"version {version} got {status}")
             stopped.wait(0.1)
         return False
 
-    def _call(self, method: str, path: str, body):
-        """Calls any control instance; returns None without an answer."""
-        machine = self._rng.choice(self._platform.controls)
-        address = f"{machine.ip}:{self._platform.CONTROL_PORT}"
-        for _ in itertools.repeat(None, 3):
-            try:
-                got = testing.call(
-                    address, method, path, body, timeout_s=TIMEOUT_S
-                )
-            except (OSError, http.client.HTTPException):
-                return None
-            if got[0] != 307:
-                return got
-            address = got[1]["Location"].split("/")[2]
-        return None
+    def _any_control(self) -> int:
+        return self._rng.randrange(len(self._platform.controls))
