Bound the memory that replies without end can take

Cause: the pass-through client and the client of the product's own mode keep all bytes of a reply. A server that sends a header or a body without end fills the memory: with 8 such servers at once an entry grew by 134 MB (one header), 233 MB (headers), 1.3 GB (body) and 1.3 GB (chunks) within one test.

Both pools bound all replies that they are receiving; the longest is dropped. A dropped reply is the failure 'too_large' of its server, is logged with its bytes, and is retried or left out like any other. Calls of the operator have a limit and a deadline, too. Bytes after a reply that begin another one close the connection.

--- a/auburnway/admin/entry_status.py
+++ b/auburnway/admin/entry_status.py
@@ -9,10 +9,7 @@
 from returns import result
 
 from auburnway.core import errors
-
-# The status page of an entry with thousands of backend servers has several
-# megabytes.
-MAX_BODY_BYTES = 64 << 20
+from auburnway.net import blocking_call
 
 
 class EntryUnreachable(errors.Error):
@@ -30,7 +27,7 @@
 
     Args:
       address: `ip:port`.
-      timeout_ms: Longest time in ms without data from the entry.
+      timeout_ms: Longest time in ms until the connection and the page.
 
     Returns:
       The decoded page, or `EntryUnreachable`.
@@ -42,7 +39,8 @@
         with opener.open(
             f"http://{address}/v1/status", timeout=timeout_ms / 1000
         ) as reply:
-            data = json.loads(reply.read(MAX_BODY_BYTES))
+            timeout_s = timeout_ms / 1000
+            data = json.loads(blocking_call.read_body(reply, timeout_s))
     except (OSError, ValueError, http.client.HTTPException) as error:
         return result.Failure(EntryUnreachable(str(error), address))
     if not isinstance(data, dict):
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -16,6 +16,7 @@
 from auburnway.gateway import settings as settings_lib
 from auburnway.gateway import sub_request as sub_request_lib
 from auburnway.kernel import process
+from auburnway.net import reply_reader
 from auburnway.net import socket_set
 from auburnway.net import web_client
 from auburnway.policy import hedging
@@ -90,6 +91,11 @@
             loop.clock,
             dialect.request_id,
             settings.connect_timeout_ms,
+            reply_reader.ReplyLimits(
+                header_bytes=settings.max_reply_header_bytes,
+                body_bytes=settings.max_reply_bytes,
+                total_bytes=settings.reply_memory_bytes,
+            ),
         )
         loop.stack.callback(self.pool.close)
         self._stats: dict[str, server_choice.ServerStats] = {}
--- a/auburnway/gateway/settings.py
+++ b/auburnway/gateway/settings.py
@@ -72,6 +72,26 @@
         200.0,
         low=1,
     )
+    max_reply_bytes: int = settings_lib.setting(
+        "Largest body of a backend server's reply, bytes. A longer reply is"
+        " dropped and counts as a failure of its server.",
+        4 << 20,
+        low=1024,
+        high=1 << 31,
+    )
+    max_reply_header_bytes: int = settings_lib.setting(
+        "Largest head of a backend server's reply, bytes.",
+        65_536,
+        low=1024,
+        high=1 << 24,
+    )
+    reply_memory_bytes: int = settings_lib.setting(
+        "Memory for all replies that are being received, bytes; the longest"
+        " one is dropped when it is used up.",
+        12 << 20,
+        low=65_536,
+        high=1 << 40,
+    )
     other_data_center_ms: float = settings_lib.setting(
         "Time added to the cost of a server in another data centre, in ms: a"
         " round trip and the cost of the traffic.",
--- a/auburnway/gateway/sub_request.py
+++ b/auburnway/gateway/sub_request.py
@@ -256,6 +256,9 @@
         ).debug("a send did not succeed")
         if verdict is attempts_lib.Verdict.FAILED:
             self.reply = reply
+            if self._context.route.gather is not None:
+                # The body of a failure is no part of a gathered answer.
+                self.reply = dataclasses.replace(reply, body=b"")
         self._retry()
 
     def _retry(self) -> None:
--- a/auburnway/net/exchange.py
+++ b/auburnway/net/exchange.py
@@ -18,6 +18,8 @@
     CONNECTION_LOST = "connection_lost"
     # The received bytes are not a valid HTTP reply.
     PROTOCOL = "protocol"
+    # The reply exceeds a limit of its size.
+    TOO_LARGE = "too_large"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/auburnway/net/http_client.py
+++ b/auburnway/net/http_client.py
@@ -20,11 +20,12 @@
 
 import circuits
 from circuits import core
-import httptools
+import loguru
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
 from auburnway.net import exchange as exchange_lib
+from auburnway.net import reply_reader
 
 RECEIVE_BYTES = 65536
 # A new connection that is not established within this time is closed.
@@ -56,7 +57,7 @@
 
 
 class _Connection:
-    """One connection; receives the callbacks of its HTTP parser."""
+    """One connection."""
 
     def __init__(self, pool: "HttpPool", address: str):
         self.pool = pool
@@ -66,7 +67,7 @@
         self.last_reply_ms = 0.0
         self.timer: timers_lib.Timer | None = None
         self._unsent = b""
-        self._reset_reply()
+        self._reader = reply_reader.ReplyReader(pool.limits)
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
@@ -76,25 +77,10 @@
         )
         self.connect_error = self.sock.connect_ex((host, int(port)))
 
-    def _reset_reply(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
-        self._is_complete = False
-        self._keep_alive = False
-
-    # Callbacks of httptools.
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        self._is_complete = True
-        # `should_keep_alive` is correct only inside this callback.
-        self._keep_alive = self._parser.should_keep_alive()
+    @property
+    def held_bytes(self) -> int:
+        """Bytes received for the current exchange."""
+        return self._reader.held_bytes
 
     # Sending.
 
@@ -154,31 +140,50 @@
             # No request is outstanding, so the bytes are not a reply.
             self.close(exchange_lib.Failure.PROTOCOL)
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        self._reader.feed(data)
+        self.pool.held_bytes += len(data)
+        replies = [r for r in self._reader.replies if r.status >= 200]
+        self._reader.replies = []
+        if self._reader.excess:
+            self.close_too_large(self._reader.excess)
+        elif self._reader.is_malformed:
             self.close(exchange_lib.Failure.PROTOCOL)
-            return
-        if self._is_complete:
-            self._finish_reply()
+        elif replies:
+            has_extra = len(replies) > 1 or self._reader.is_in_message
+            self._finish_reply(replies[0], not has_extra)
+        else:
+            self.pool.limit_held_bytes()
+
+    def close_too_large(self, limit: str) -> None:
+        """Closes the connection, whose reply exceeds a limit.
 
-    def _finish_reply(self) -> None:
+        Args:
+          limit: Name of the limit.
+        """
+        loguru.logger.bind(
+            server=self.address, limit=limit, received_bytes=self.held_bytes
+        ).warning("closed a connection whose reply exceeds a limit")
+        self.close(exchange_lib.Failure.TOO_LARGE)
+
+    def _finish_reply(
+        self, parsed: reply_reader.ParsedReply, is_reusable: bool
+    ) -> None:
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in parsed.headers
+        }
         reply = exchange_lib.Reply(
-            self._parser.get_status_code(),
-            self._headers,
-            b"".join(self._body),
-            None,
-            True,
+            parsed.status, headers, parsed.body, None, True
         )
-        keep = self._keep_alive
         exchange, self.exchange = self.exchange, None
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        self._reset_reply()
+        self.pool.held_bytes -= self._reader.held_bytes
+        self._reader = reply_reader.ReplyReader(self.pool.limits)
         self.state = _State.IDLE
         self.last_reply_ms = self.pool.clock.now_ms()
-        if keep:
+        if parsed.keep_alive and is_reusable:
             self.pool.release(self)
         else:
             self.close(_LOST)
@@ -215,6 +220,7 @@
         self.state = _State.CLOSED
         if self.timer is not None:
             self.timer.cancel()
+        self.pool.held_bytes -= self._reader.held_bytes
         self.pool.remove_connection(self)
         self.sock.close()
         if exchange is not None:
@@ -236,6 +242,10 @@
 
     Pools on the same loop need different channels. Idle connections are
     probed unless `pings` is False.
+
+    Attributes:
+      limits: Limits of the size of replies.
+      held_bytes: Bytes of the replies that are being received.
     """
 
     channel = "backend"
@@ -247,8 +257,11 @@
         clock: clock_lib.Clock,
         channel: str = channel,
         pings: bool = True,
+        limits: reply_reader.ReplyLimits = reply_reader.ReplyLimits(),  # noqa: B008 (immutable)
     ):
         super().__init__(channel=channel)
+        self.limits = limits
+        self.held_bytes = 0
         self.timers = timers
         self.clock = clock
         self._servers: dict[str, _Server] = {}
@@ -358,6 +371,13 @@
         """Sets the epoll mask of a connection's socket."""
         self._epoll.modify(connection.sock, mask)
 
+    def limit_held_bytes(self) -> None:
+        """Closes the connections with the longest replies above the limit."""
+        while self.held_bytes > self.limits.total_bytes:
+            connections = self._by_descriptor.values()
+            longest = max(connections, key=lambda c: c.held_bytes)
+            longest.close_too_large("total_bytes")
+
     def release(self, connection: _Connection) -> None:
         """Makes a connection idle, or closes it when above the limit."""
         server = self._servers[connection.address]
--- a/auburnway/net/http_client_test.py
+++ b/auburnway/net/http_client_test.py
@@ -20,10 +20,14 @@
 
     `reply_to` is called with the connection's number, from 1, and the
     request; None closes the connection.
+
+    Attributes:
+      closes_after_reply: Whether each connection is closed after one reply.
     """
 
-    def __init__(self, reply_to):
+    def __init__(self, reply_to, closes_after_reply=False):
         self.accepted = 0
+        self.closes_after_reply = closes_after_reply
         self.requests = []
         self._reply_to = reply_to
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -54,7 +58,13 @@
             if reply is None:
                 sock.close()
                 return
-            sock.sendall(reply)
+            try:
+                sock.sendall(reply)
+            except OSError:
+                return
+            if self.closes_after_reply:
+                sock.close()
+                return
 
     def close(self):
         self._listener.close()
@@ -217,3 +227,39 @@
     harness.send(server.address, max_silence_ms=10.0)
     assert server.accepted == 2
     server.close()
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\na: " + b"b" * 200_000,
+        b"HTTP/1.1 200 OK\r\n\r\n" + b"b" * (5 << 20),
+    ],
+)
+def test_reply_without_end_fails_its_exchange(harness, reply):
+    # Guards against reading a head or a body until the memory is full.
+    server = FakeServer(lambda connection_number, request_bytes: reply)
+    result = harness.send(server.address)
+    assert result.failure is exchange_lib.Failure.TOO_LARGE
+    assert harness.on_loop(lambda: harness.pool.held_bytes) == 0
+    server.close()
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-le",
+        b"HTTP/1.1 200 OK\r\nx: y\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n{}",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    ],
+)
+def test_cut_reply_fails_its_exchange(harness, reply):
+    # Guards against taking a reply that was cut for a whole one.
+    server = FakeServer(
+        lambda connection_number, request_bytes: reply, closes_after_reply=True
+    )
+    result = harness.send(server.address)
+    assert (result.status, result.body) == (0, b"")
+    assert result.failure is exchange_lib.Failure.CONNECTION_LOST
+    server.close()
--- a/auburnway/net/web_client.py
+++ b/auburnway/net/web_client.py
@@ -12,11 +12,12 @@
 import errno
 import socket
 
-import httptools
+import loguru
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
 from auburnway.net import exchange
+from auburnway.net import reply_reader
 from auburnway.net import socket_set
 
 RECEIVE_BYTES = 1 << 16
@@ -33,6 +34,7 @@
 _CONNECT_FAILED = exchange.Failure.CONNECT_FAILED
 _NO_CONNECTION = exchange.Failure.NO_CONNECTION
 _PROTOCOL = exchange.Failure.PROTOCOL
+_TOO_LARGE = exchange.Failure.TOO_LARGE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,18 +108,8 @@
             on_reply(reply)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ParsedReply:
-    """One parsed reply, which may not belong to the current call."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    keep_alive: bool
-
-
 class _Connection:
-    """One connection; receives the callbacks of its HTTP parser."""
+    """One connection."""
 
     def __init__(self, pool: "WebPool", address: str):
         self.pool = pool
@@ -128,11 +120,9 @@
         self.idle_until_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_MS
         self._unsent = b""
-        # Set when data was read that is not a valid reply.
-        self._parse_failed = False
         # Set when a reply to a different request was read.
         self._skipped_reply = False
-        self._reset_reply()
+        self._reader = reply_reader.ReplyReader(pool.limits)
         host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
@@ -142,41 +132,10 @@
         )
         self.connect_error = self.sock.connect_ex((host, int(port)))
 
-    def _reset_reply(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        # One read may return several replies.
-        self._replies: list[_ParsedReply] = []
-        self.on_message_begin()
-
-    # Callbacks of httptools.
-
-    def on_message_begin(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._has_headers = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        self._has_headers = True
-
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        self._replies.append(
-            self._make_parsed_reply(self._parser.should_keep_alive())
-        )
-        self._has_headers = False
-
-    def _make_parsed_reply(self, keep_alive: bool) -> "_ParsedReply":
-        return _ParsedReply(
-            self._parser.get_status_code(),
-            tuple(self._headers),
-            b"".join(self._body),
-            keep_alive,
-        )
+    @property
+    def held_bytes(self) -> int:
+        """Bytes received for the current call."""
+        return self._reader.held_bytes
 
     # Sending.
 
@@ -239,20 +198,35 @@
             # No request is outstanding, so the bytes are not a reply.
             self.close(_PROTOCOL)
             return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            # A complete reply may precede the invalid data.
-            self._parse_failed = True
-        if self.call.has_no_body and self._has_headers and not self._replies:
-            self._replies.append(self._make_parsed_reply(False))
+        self._reader.feed(data, self.call.has_no_body)
+        self.pool.held_bytes += len(data)
         self._match_reply()
-        if self.is_open and self.call is not None and self._parse_failed:
+        if not self.is_open or self.call is None:
+            return
+        if self._reader.excess:
+            self.close_too_large(self._reader.excess)
+        elif self._reader.is_malformed:
             self.close(_PROTOCOL)
+        else:
+            self.pool.limit_held_bytes()
+
+    def close_too_large(self, limit: str) -> None:
+        """Closes the connection, whose reply exceeds a limit.
+
+        Args:
+          limit: Name of the limit.
+        """
+        loguru.logger.bind(
+            server=self.address,
+            limit=limit,
+            received_bytes=self.held_bytes,
+        ).warning("closed a connection whose reply exceeds a limit")
+        self.close(_TOO_LARGE)
 
     def _match_reply(self) -> None:
         """Ends the call with the first final reply that matches its id."""
-        replies, self._replies = self._replies, []
+        reader = self._reader
+        replies, reader.replies = reader.replies, []
         for i, parsed in enumerate(replies):
             if parsed.status < 200:
                 continue
@@ -262,29 +236,33 @@
                 # A late reply to an earlier request; the call's reply follows.
                 self._skipped_reply = True
                 continue
-            is_last = i == len(replies) - 1 and not self._has_headers
+            is_last = i == len(replies) - 1 and not reader.is_in_message
             self._finish_call(parsed, fields, is_last)
             return
 
     def _on_end_of_stream(self) -> None:
         """Handles the end of the stream, which may end the reply's body."""
-        names = {name.lower() for name, _ in self._headers}
-        close_ends_body = not names & {b"content-length", b"transfer-encoding"}
-        if self.call is not None and self._has_headers and close_ends_body:
-            self._replies.append(self._make_parsed_reply(False))
+        if self.call is not None:
+            self._reader.end_of_stream()
             self._match_reply()
         if self.is_open:
             self.close(_LOST)
 
     def _finish_call(
-        self, parsed: "_ParsedReply", fields: dict[bytes, bytes], is_last: bool
+        self,
+        parsed: reply_reader.ParsedReply,
+        fields: dict[bytes, bytes],
+        is_last: bool,
     ) -> None:
         call, self.call = self.call, None
         is_reusable = (
-            is_last and not self._parse_failed and not self._skipped_reply
+            is_last
+            and not self._reader.is_malformed
+            and not self._skipped_reply
         )
         if parsed.keep_alive and is_reusable and not self._unsent:
-            self._reset_reply()
+            self.pool.held_bytes -= self._reader.held_bytes
+            self._reader = reply_reader.ReplyReader(self.pool.limits)
             self.idle_limit_ms = _idle_limit_ms(fields)
             self._become_idle()
         else:
@@ -312,6 +290,7 @@
         if self.is_connecting:
             failure = _CONNECT_FAILED
         call, self.call = self.call, None
+        self.pool.held_bytes -= self._reader.held_bytes
         self.pool.remove_connection(self)
         self.sock.close()
         if call is not None:
@@ -345,6 +324,10 @@
       id_header: Lower-case name of the reply header with the request's id.
       connect_timeout_ms: A connection that is not established within this
         time is closed.
+      limits: Limits of the size of replies.
+
+    Attributes:
+      held_bytes: Bytes of the replies that are being received.
     """
 
     def __init__(
@@ -354,14 +337,19 @@
         clock: clock_lib.Clock,
         id_header: bytes,
         connect_timeout_ms: float,
+        limits: reply_reader.ReplyLimits = reply_reader.ReplyLimits(),  # noqa: B008 (immutable)
     ):
         self.sockets = sockets
         self.clock = clock
         self.id_header = id_header
+        self.limits = limits
+        self.held_bytes = 0
         self.opened_count = 0
         self._timers = timers
         self._connect_timeout_ms = connect_timeout_ms
         self._servers: dict[str, _Server] = {}
+        # Includes connections to servers that were removed.
+        self._connections: set[_Connection] = set()
         self._sweep_timer = timers.every(SWEEP_PERIOD_MS, self._sweep)
 
     def set_limit(self, address: str, limit: int) -> None:
@@ -435,6 +423,12 @@
             for connection in tuple(server.connections):
                 connection.close(_LOST)
 
+    def limit_held_bytes(self) -> None:
+        """Closes the connections with the longest replies above the limit."""
+        while self.held_bytes > self.limits.total_bytes:
+            longest = max(self._connections, key=lambda c: c.held_bytes)
+            longest.close_too_large("total_bytes")
+
     def release(self, connection: _Connection) -> None:
         """Makes a connection idle, or closes it when above the limit."""
         server = self._servers.get(connection.address)
@@ -446,6 +440,7 @@
     def remove_connection(self, connection: _Connection) -> None:
         """Unregisters a connection that is about to be closed."""
         self.sockets.remove(connection.sock)
+        self._connections.discard(connection)
         server = self._servers.get(connection.address)
         if server is not None:
             server.connections.discard(connection)
@@ -475,6 +470,7 @@
             return
         self.opened_count += 1
         server.connections.add(connection)
+        self._connections.add(connection)
         self.sockets.add(connection.sock, socket_set.WRITE, connection.on_ready)
         connection.start(call)
 
--- a/auburnway/net/web_client_test.py
+++ b/auburnway/net/web_client_test.py
@@ -5,9 +5,13 @@
 import pytest
 
 from auburnway.net import exchange
+from auburnway.net import reply_reader
 from auburnway.net import testing
 from auburnway.net import web_client
 
+LIMITS = reply_reader.ReplyLimits(
+    header_bytes=10_000, body_bytes=200_000, total_bytes=250_000
+)
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 
 
@@ -25,6 +29,7 @@
             self.loop.clock,
             b"request-id",
             500.0,
+            LIMITS,
         )
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.settimeout(2.0)
@@ -147,3 +152,56 @@
     reply = harness.result()
     assert reply.failure is exchange.Failure.CONNECT_FAILED
     assert not reply.reached
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nA: ",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n",
+    ],
+)
+def test_reply_without_end_closes_its_connection(harness, head):
+    # Guards against reading a head or a body until the memory is full.
+    harness.send(b"a")
+    peer = harness.accept()
+    peer.setblocking(False)
+    peer.send(head)
+
+    def is_done():
+        try:
+            peer.send(b"a" * 10_000)
+        except OSError:
+            pass
+        return harness.replies
+
+    harness.run_until(is_done)
+    reply = harness.result()
+    assert reply.failure is exchange.Failure.TOO_LARGE
+    assert reply.reached
+    assert harness.pool.connection_count() == 0
+    assert harness.pool.held_bytes == 0
+
+
+def test_longest_reply_is_dropped_when_the_memory_is_used_up(harness):
+    # Guards against failing a short reply because of a long one.
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n"
+    harness.send(b"a")
+    long_peer = harness.accept()
+    harness.send(b"b")
+    short_peer = harness.accept()
+    long_peer.sendall(head % (b"a", 200_000) + b"a" * 190_000)
+    harness.run_iterations(20)
+    short_peer.sendall(head % (b"b", 100_000) + b"b" * 100_000)
+    harness.result(2)
+    by_status = {reply.status: reply for reply in harness.replies}
+    assert by_status[0].failure is exchange.Failure.TOO_LARGE
+    assert len(by_status[200].body) == 100_000
+
+
+def test_connection_with_bytes_after_a_reply_is_closed(harness):
+    harness.send(b"a")
+    peer = harness.accept()
+    peer.sendall(make_reply(b"a", b"first") + b"HTTP/1.1 20")
+    assert harness.result().body == b"first"
+    assert harness.pool.connection_count() == 0
