Answer clients that pipeline many requests

Cause: a connection with more than 16 waiting requests was closed without an answer to any of them and without a log line. Change: such a connection is not read from until there is room.

--- a/auburnway/net/web_server.py
+++ b/auburnway/net/web_server.py
@@ -24,7 +24,7 @@
 RECEIVE_BYTES = 1 << 16
 SWEEP_PERIOD_MS = 250.0
 BACKLOG = 1024
-# A connection with more unanswered pipelined requests is closed.
+# A connection with this many waiting pipelined requests is not read from.
 MAX_PIPELINED = 16
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -232,12 +232,19 @@
             self._error_status = self._error_status or 400
         except ValueError:
             self._error_status = self._error_status or 400
-        if len(self._waiting) > MAX_PIPELINED:
-            self.close()
-            return
         self._dispatch_waiting()
-        if self._error_status and self.current_request is None and self.is_open:
+        if not self.is_open:
+            return
+        if self._error_status and self.current_request is None:
             self.reject(self._error_status)
+        elif not self._is_closing:
+            self._update_mask()
+
+    def _update_mask(self) -> None:
+        mask = socket_set.WRITE if self._unsent else 0
+        if len(self._waiting) < MAX_PIPELINED or self._is_closing:
+            mask |= socket_set.READ
+        self.server.sockets.change_mask(self.sock, mask)
 
     def reject(self, status: int) -> None:
         """Answers an unreadable request with `status` and closes."""
@@ -292,11 +299,7 @@
             self.close()
             return
         del self._unsent[:count]
-        if self._unsent:
-            mask = socket_set.READ | socket_set.WRITE
-            self.server.sockets.change_mask(self.sock, mask)
-            return
-        if self._is_closing:
+        if not self._unsent and self._is_closing:
             # The receiving direction stays open until the client closes,
             # because closing a socket with unread bytes sends a reset, which
             # can discard the reply at the client.
@@ -308,7 +311,7 @@
             self.has_begun_request = False
             self._last_reply_ms = self.server.clock.now_ms()
             self.progress_due_ms = self._last_reply_ms + 1000.0
-        self.server.sockets.change_mask(self.sock, socket_set.READ)
+        self._update_mask()
 
     def on_progress_timeout(self) -> None:
         """Closes the connection, which made no progress in time.
--- a/auburnway/net/web_server_test.py
+++ b/auburnway/net/web_server_test.py
@@ -209,3 +209,54 @@
     client.sendall(GET)
     harness.run_until(lambda: len(harness.requests) == 2)
     assert [r.is_first for r in harness.requests] == [True, False]
+
+
+def test_many_pipelined_requests_are_answered_in_order(harness):
+    # Guards against closing the connection of a client that sends many
+    # requests at once, without an answer to any of them.
+    count = 2000
+    requests = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % n for n in range(count)
+    )
+    client = harness.connect()
+    client.setblocking(False)
+    received, sent, answered = bytearray(), 0, 0
+
+    def is_done():
+        nonlocal sent, answered
+        try:
+            sent += client.send(requests[sent:])
+        except BlockingIOError:
+            pass
+        for request in harness.requests[answered:]:
+            request.reply(200, (), request.path)
+            answered += 1
+        try:
+            received.extend(client.recv(1 << 16))
+        except BlockingIOError:
+            pass
+        return answered == count and b"/1999" in received
+
+    harness.run_until(is_done, 20.0)
+    paths = [r.path for r in harness.requests]
+    assert paths == [b"/%d" % n for n in range(count)]
+    client.close()
+
+
+def test_client_with_many_waiting_requests_is_not_read_from(harness):
+    # Guards against waiting requests that fill the memory.
+    client = harness.connect()
+    client.setblocking(False)
+    sent = blocked = 0
+    while blocked < 20:
+        try:
+            sent += client.send(GET * 1000)
+            blocked = 0
+        except BlockingIOError:
+            blocked += 1
+        assert sent < 64 << 20
+        harness.run_iterations()
+    (connection,) = harness.server.connections
+    most = web_server.MAX_PIPELINED + web_server.RECEIVE_BYTES // len(GET)
+    assert len(connection._waiting) <= most
+    client.close()
