Take a request during a stop only if it ends before the process

Cause: a stopping entry accepted requests for 0.45 of the grace time, whatever their deadline, and closed what was open at 0.9 of it without an answer. Change: policy.stop_admission decides by the request's deadline, capped by the route's timeout; others are refused at once as not run. What is open at the end is answered, truly about whether it may have run, before the socket closes.

--- a/auburnway/gateway/client_request.py
+++ b/auburnway/gateway/client_request.py
@@ -140,16 +140,25 @@
         self._timer.cancel()
         self._sub_request.cancel()
 
-    def _on_deadline(self) -> None:
+    def end(self, reason: str) -> None:
+        """Answers the request now, without the reply of a server.
+
+        Args:
+          reason: Short name of the cause.
+        """
+        self._timer.cancel()
         may_have_run = self._sub_request.may_have_run
         self._sub_request.cancel()
         if may_have_run:
-            self._on_answer(refusal(504, "timed_out"))
+            self._on_answer(refusal(504, reason))
         else:
             self._on_answer(
-                _no_reply_answer(self._context.route, False, "timed_out")
+                _no_reply_answer(self._context.route, False, reason)
             )
 
+    def _on_deadline(self) -> None:
+        self.end("timed_out")
+
     def _on_done(self, sub_request: sub_request_lib.SubRequest) -> None:
         self._timer.cancel()
         reply = sub_request.reply
@@ -241,6 +250,15 @@
         for sub_request in self._sub_requests:
             sub_request.cancel()
 
+    def end(self, reason: str) -> None:
+        """Answers the query now, with the parts that have arrived.
+
+        Args:
+          reason: Short name of the cause, if there are too few parts.
+        """
+        if not self._is_done:
+            self._finish(reason)
+
     @property
     def _coverage(self) -> float:
         return len(self._parts) / len(self._gather.shards)
@@ -260,6 +278,7 @@
         if sub_request.outcome is attempts.Outcome.SUCCESS and self._is_part(
             sub_request
         ):
+            self._trim(sub_request)
             self._parts[sub_request.service] = sub_request
             self._signatures.add(self._signature(sub_request))
         if self._open_count == 0 or (
@@ -267,6 +286,14 @@
         ):
             self._finish("incomplete")
 
+    def _trim(self, sub_request: sub_request_lib.SubRequest) -> None:
+        """Keeps only the records of a part that the answer can include."""
+        reply, count = sub_request.reply, self._gather.top_records
+        if len(reply.body) <= count * merge.RECORD_BYTES:
+            return
+        body = merge.top_records((reply.body,), count)
+        sub_request.reply = dataclasses.replace(reply, body=body)
+
     def _is_part(self, sub_request: sub_request_lib.SubRequest) -> bool:
         # Two parts with equal signatures would make the whole answer invalid.
         is_unique = self._signature(sub_request) not in self._signatures
@@ -337,3 +364,6 @@
                 missing,
             )
         )
+
+
+ClientRequest = SingleRequest | GatheredRequest
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -13,20 +13,23 @@
 from auburnway.gateway import settings as settings_lib
 from auburnway.gateway import sub_request as sub_request_lib
 from auburnway.kernel import process
+from auburnway.kernel import timers as timers_lib
 from auburnway.net import socket_set
 from auburnway.net import web_server
 from auburnway.policy import client_delay
 from auburnway.policy import entry_selection
 from auburnway.policy import shard_admission
+from auburnway.policy import stop_admission
 
 # Time left of a request that states none; the route's timeout limits it.
 MAX_DEADLINE_MS = 3_600_000.0
-# Times after SIGTERM, as shares of the grace time: after REFUSE_SHARE new
-# requests are refused, as they might not end in time; after STOP_SHARE the
-# process ends even if requests are open.
-REFUSE_SHARE = 0.45
-STOP_SHARE = 0.9
 DRAIN_CHECK_MS = 100.0
+# A stopping entry serves for this many times the time for which clients cache
+# the directory's answer: some cache it longer than they are told.
+MIN_DRAIN_TTLS = 3
+# Time from the answers to the last open requests to the end of the process. A
+# socket that is closed with unread bytes discards answers in transit.
+LAST_ANSWERS_MS = 100.0
 # Period of the load measurement, and weight of the newest sample.
 LOAD_PERIOD_MS = 500.0
 LOAD_WEIGHT = 0.2
@@ -78,7 +81,9 @@
         self._clock = loop.clock
         self._matcher: route_table.Matcher | None = None
         self._split_credits: dict[str, list[float]] = {}
-        self._stop_started_ms: float | None = None
+        self._stop: stop_admission.Stop | None = None
+        self._drain_timer: timers_lib.Timer | None = None
+        self._open_requests: set[client_request_lib.ClientRequest] = set()
         # Called with rank, status, reason and duration in ms of each answer.
         self.on_answer: abc.Callable[[int, int, str, float], None] | None = None
         self._probe_schedule = shard_admission.ProbeSchedule()
@@ -116,7 +121,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether clients should use this entry."""
-        return self._matcher is not None and self._stop_started_ms is None
+        return self._matcher is not None and self._stop is None
 
     def addresses(self, data_center: str) -> tuple[str, ...]:
         """Returns the addresses of entries for a client.
@@ -144,29 +149,32 @@
     def stop(self) -> None:
         """Starts the graceful stop, in which open requests are finished.
 
-        New requests are accepted for a part of the grace time, then refused.
+        Requests that may outlast the grace time are refused.
         """
-        self._stop_started_ms = self._clock.now_ms()
+        self._stop = stop_admission.Stop(
+            self._clock.now_ms(),
+            MIN_DRAIN_TTLS * self._settings.address_ttl_ms,
+            self._settings.grace_ms,
+        )
         loguru.logger.info("stopping")
         self.feed.report_ready(False)
         self.feed.entries.remove_entry(self._settings.client_address)
         self.client_server.closes_after_reply = True
-        self._loop.timers.every(DRAIN_CHECK_MS, self._check_drain)
+        self._drain_timer = self._loop.timers.every(
+            DRAIN_CHECK_MS, self._check_drain
+        )
 
     def _check_drain(self) -> None:
-        grace_ms = self._settings.grace_ms
-        elapsed_ms = self._clock.now_ms() - self._stop_started_ms
-        min_drain_ms = 3 * self._settings.address_ttl_ms
-        is_idle = self.client_server.busy_count == 0
-        if (
-            elapsed_ms > min_drain_ms
-            and is_idle
-            or elapsed_ms > STOP_SHARE * grace_ms
-        ):
-            loguru.logger.bind(open=self.client_server.busy_count).info(
-                "stopped"
-            )
-            self._loop.stop()
+        open_count = self.client_server.busy_count
+        if not self._stop.is_over(self._clock.now_ms(), open_count):
+            return
+        self._drain_timer.cancel()
+        loguru.logger.bind(open=open_count).info("stopped")
+        for client_request in tuple(self._open_requests):
+            client_request.end("stopping")
+        self._loop.timers.after(
+            LAST_ANSWERS_MS if open_count else 0.0, self._loop.stop
+        )
 
     def _report_load(self) -> None:
         sub_request_count = self.dispatcher.sub_request_count
@@ -203,10 +211,22 @@
             )
             return
         context = self._request_context(request, route)
+        if self._stop is not None and not self._stop.accepts(
+            context.deadline_ms
+        ):
+            refused = client_request_lib.refusal(503, "stopping", 1.0)
+            self._answer(request, context, refused)
+            return
+        client_request: client_request_lib.ClientRequest | None = None
 
         def on_answer(answer: client_request_lib.Answer):
+            self._open_requests.discard(client_request)
             self._answer(request, context, answer)
 
+        def on_gone():
+            self._open_requests.discard(client_request)
+            client_request.cancel()
+
         if route.gather is not None:
             client_request = self._gathered_request(context, on_answer)
             if client_request is None:
@@ -221,7 +241,8 @@
             client_request = client_request_lib.SingleRequest(
                 self.dispatcher, context, service, on_answer
             )
-        request.on_gone = client_request.cancel
+        self._open_requests.add(client_request)
+        request.on_gone = on_gone
         client_request.start()
 
     def _gathered_request(
@@ -254,10 +275,6 @@
     ) -> client_request_lib.Answer | None:
         if self._matcher is None:
             return client_request_lib.refusal(503, "no_configuration", 200.0)
-        if self._stop_started_ms is not None:
-            elapsed_ms = self._clock.now_ms() - self._stop_started_ms
-            if elapsed_ms > REFUSE_SHARE * self._settings.grace_ms:
-                return client_request_lib.refusal(503, "stopping", 1.0)
         hosts = [n for n, _ in request.headers if n.lower() == b"host"]
         if len(hosts) != 1:
             return client_request_lib.refusal(400, "bad_host")
