--- a/auburnway/faults/control_test.py
+++ b/auburnway/faults/control_test.py
@@ -179,15 +179,14 @@
     assert code == 0
 
 
-@pytest.mark.xfail(
-    strict=False,
-    reason="KNOWN-RED.txt: the entry may hold no lease of its own at the start",
-)
 def test_entry_without_control_and_peers_stops_serving(rig):
     # Guards against an isolated entry that still serves an old note. The
     # times compared are the entry's own, from its status.
     entry, *others = rig.fleet.entries
     members = [*others, *rig.fleet.control]
+    # Without a lease of its own the entry serves by the others' statements, and
+    # the time since the end of its lease says nothing about this test.
+    rig.wait_until_leased(entry)
     for member in members:
         rig.fleet.send_signal(member, signal.SIGSTOP)
     try:
--- a/auburnway/faults/rig.py
+++ b/auburnway/faults/rig.py
@@ -251,6 +251,15 @@
         self.fleet.start(member)
         self.wait_until_up(member)
 
+    def wait_until_leased(self, entry: fleet_lib.Member) -> None:
+        """Waits until an entry holds a lease of its own."""
+
+        def is_leased():
+            status = self.fleet.status(entry)
+            return status and status["lease_left_ms"] > 0
+
+        self.fleet.wait_for(is_leased, f"lease of {entry.name}")
+
     def wait_until_up(self, member: fleet_lib.Member) -> None:
         """Waits until a started process replies to a status request."""
 
--- a/auburnway/platform/control_calls.py
+++ b/auburnway/platform/control_calls.py
@@ -11,6 +11,7 @@
 from auburnway.net import web_server
 from auburnway.platform import documents
 from auburnway.registrar import node as node_lib
+from auburnway.registrar import replies
 from auburnway.registrar import revision_machine
 
 _JSON = ((b"Content-Type", b"application/json"),)
@@ -91,7 +92,7 @@
             self._reply_failure(request, reply.failure())
 
     def _reply_failure(self, request, error: errors.Error) -> None:
-        if isinstance(error, node_lib.SeeLeader):
+        if isinstance(error, replies.SeeLeader):
             leader_url = f"http://{error.detail}:{self._port}".encode()
             headers = (*_JSON, (b"Location", leader_url + request.target))
             request.reply(error.http_status, headers, b"{}")
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -26,6 +26,7 @@
 from auburnway.registrar import data_folder
 from auburnway.registrar import entry_states
 from auburnway.registrar import messages
+from auburnway.registrar import replies
 from auburnway.registrar import revision_machine
 from auburnway.registrar import settings as settings_lib
 from auburnway.registrar import table_file
@@ -47,30 +48,6 @@
 SAVE_MS = 1_000.0
 
 
-class NotAvailable(errors.Error):
-    """This instance cannot answer now; another instance may."""
-
-    code = "not_available"
-    remedy = "Send the call again, to another control instance first."
-    http_status = 503
-
-
-class RevisionConflict(errors.Error):
-    """The revision is in force with different content."""
-
-    code = "revision_conflict"
-    remedy = "Read the configuration in force, and send a higher revision."
-    http_status = 409
-
-
-class SeeLeader(errors.Error):
-    """Another instance is the leader; `detail` is its IP address."""
-
-    code = "see_leader"
-    remedy = "Send the call to the instance that is named."
-    http_status = 307
-
-
 class _RaftLink:
     """Sends Raft messages over the stream to one control instance."""
 
@@ -182,12 +159,12 @@
 
         def on_applied(reply: result.Result):
             if not pipeline.is_successful(reply):
-                error = NotAvailable("the outcome is not known")
+                error = replies.NotAvailable("the outcome is not known")
                 on_reply(result.Failure(error))
             elif reply.unwrap():
                 on_reply(result.Success(None))
             else:
-                error = RevisionConflict(f"revision {command.revision}")
+                error = replies.RevisionConflict(f"revision {command.revision}")
                 on_reply(result.Failure(error))
 
         self.consensus.post(lambda: self.consensus.propose(command, on_applied))
@@ -209,10 +186,10 @@
         def on_ready(reply: result.Result):
             state = self.consensus.state
             if not pipeline.is_successful(reply):
-                error = NotAvailable("leadership was lost")
+                error = replies.NotAvailable("leadership was lost")
                 on_reply(result.Failure(error))
             elif state.revision < 0:
-                error = NotAvailable("there is no configuration yet")
+                error = replies.NotAvailable("there is no configuration yet")
                 on_reply(result.Failure(error))
             else:
                 on_reply(result.Success(state))
@@ -224,15 +201,15 @@
             return None
         leader = self.consensus.leader_address
         if not leader or not self.consensus.raft.has_leader_contact():
-            return NotAvailable("no leader is known")
-        return SeeLeader(leader.rpartition(":")[0])
+            return replies.NotAvailable("no leader is known")
+        return replies.SeeLeader(leader.rpartition(":")[0])
 
     # Backend servers.
 
     def accept_heartbeat(self, row: server_table.Row) -> errors.Error | None:
         """Processes a heartbeat; returns None if it may be acknowledged."""
         if self._is_isolated():
-            return NotAvailable("this instance reaches no other")
+            return replies.NotAvailable("this instance reaches no other")
         now_ms = self._clock.now_ms()
         if self.table.put(row, now_ms):
             loguru.logger.bind(
@@ -250,7 +227,7 @@
     def accept_server_stop(self, server_id: str) -> errors.Error | None:
         """Processes a server's stop; returns None if it may be acknowledged."""
         if self._is_isolated():
-            return NotAvailable("this instance reaches no other")
+            return replies.NotAvailable("this instance reaches no other")
         row = self.table.end(server_id, self._clock.now_ms())
         if row is not None:
             loguru.logger.bind(server=server_id).info("backend server ended")
@@ -327,7 +304,7 @@
         """Sends the whole state to a new entry, which then gets updates."""
         self._send_table(stream)
         initial_messages = [
-            messages.Controls(self.address, self._control_addresses()),
+            self._controls(),
             messages.Heard(tuple(self._last_heartbeat_ms), True),
             self._entries.last_list(),
         ]
@@ -423,11 +400,16 @@
     def _save(self) -> None:
         self._saver.save(self.table.rows())
 
-    def _control_addresses(self) -> tuple[str, ...]:
-        members = {m.address for m in self.consensus.raft.members}
-        return tuple(
-            sorted(members or data_folder.internal_addresses(self._settings))
-        )
+    def _controls(self) -> messages.Controls | None:
+        """Returns the control instances; None before they are known.
+
+        An instance that lost its disk knows only the seeds until it has joined
+        again. Entries must not close their streams to the others because of it.
+        """
+        addresses = sorted(m.address for m in self.consensus.raft.members)
+        if not addresses:
+            return None
+        return messages.Controls(self.address, tuple(addresses))
 
     def _sync_dialers(self) -> None:
         expected_addresses = {m.address for m in self.consensus.raft.members}
@@ -459,8 +441,9 @@
             loguru.logger.bind(revision=revision).info(
                 "configuration is committed"
             )
-        controls = messages.Controls(self.address, self._control_addresses())
-        self._push_to_entries(stream_lib.pack(messages.encode(controls)))
+        controls = self._controls()
+        if controls is not None:
+            self._push_to_entries(stream_lib.pack(messages.encode(controls)))
 
 
 @functools.singledispatch
--- a/auburnway/registrar/node_test.py
+++ b/auburnway/registrar/node_test.py
@@ -2,8 +2,6 @@
 
 import socket
 
-import pytest
-
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import process
 from auburnway.net import socket_set
@@ -64,10 +62,6 @@
     assert len(controls_message.addresses) == 3
 
 
-@pytest.mark.xfail(
-    strict=True,
-    reason="KNOWN-RED.txt: an instance without members names the seeds",
-)
 def test_instance_without_members_names_no_control_instances():
     # Guards against entries that close their streams to all other instances
     # because an instance that lost its disk knows only the seeds.
