Send news of backend servers from two control instances to each entry

Cause: each control instance told each entry of each change, and each entry told each control instance its whole table at each connect. Change: policy.news_sources chooses two sources, in the own data centre first. registrar.subscribers decides who is told: subscribers; all entries while the first instance to hear of a change cannot reach another, with the changes of the last 3 s, so that a partition hides no drain. A new source sends its table if the digests differ. An instance that starts asks three entries for rows. Entries and instances of the earlier version are told everything, as before.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -13,6 +13,7 @@
 
 import dataclasses
 import enum
+import hashlib
 import typing
 
 # Retention of tombstones. A heartbeat that a partition delayed arrives well
@@ -101,6 +102,14 @@
         """Returns all rows, tombstones included."""
         return tuple(self._rows.values())
 
+    def digest(self) -> str:
+        """Returns a text that is equal for tables with equal content."""
+        rows = sorted(
+            (row.server_id, *_relayed_fields(row)[:-1], row.state.value)
+            for row in self._rows.values()
+        )
+        return hashlib.blake2b(repr(rows).encode(), digest_size=8).hexdigest()
+
     def get(self, server_id: str) -> Row | None:
         """Returns the row of a server, or None."""
         return self._rows.get(server_id)
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -21,6 +21,7 @@
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
 from auburnway.policy import entry_selection
+from auburnway.policy import news_sources
 from auburnway.registrar import messages
 from auburnway.registrar import revision_machine
 
@@ -67,6 +68,9 @@
         self._sockets = sockets
         self._on_configuration = on_configuration
         self._dialers: dict[str, stream_lib.Dialer] = {}
+        # Data centres of the control instances that are connected.
+        self._locations: dict[str, str | None] = {}
+        self._sources: frozenset[str] = frozenset()
         self.entries = entry_list.EntryList(loop.clock)
         self._target_revision = -1
         self._requested_from: set[str] = set()
@@ -142,13 +146,43 @@
         stream.send(
             messages.encode(messages.Hello("entry", self._settings.name))
         )
+        self._locations[address] = None
+        self._subscribe(stream, False)
         self._send_state(stream)
+
+    def _subscribe(self, stream: stream_lib.Stream, is_wanted: bool) -> None:
+        digest = self.table.digest() if is_wanted else ""
+        stream.send(messages.encode(messages.Subscribe(is_wanted, digest)))
+
+    def _choose_sources(self) -> None:
+        chosen = news_sources.choose(
+            self._locations,
+            self._sources,
+            self._settings.name,
+            self._settings.data_center,
+        )
+        changed, self._sources = chosen ^ self._sources, chosen
+        for address in changed & self._dialers.keys():
+            stream = self._dialers[address].stream
+            if stream is not None:
+                self._subscribe(stream, address in chosen)
+
+    def on_location(self, location: messages.Location, address: str) -> None:
+        """Records the data centre of a control instance."""
+        self._locations[address] = location.data_center
+        self._choose_sources()
+
+    def on_ask_rows(self, address: str) -> None:
+        """Sends the rows that this entry knows to a control instance."""
         rows = tuple(map(server_table.encode_row, self.table.rows()))
         if rows:
-            stream.send(messages.encode(messages.Rows(rows)))
+            self._dialers[address].send(messages.encode(messages.Rows(rows)))
 
     def _on_lost(self, address: str, stream: stream_lib.Stream) -> None:
         del stream
+        self._locations.pop(address, None)
+        self._sources -= {address}
+        self._choose_sources()
         loguru.logger.bind(control=address).warning("lost a control instance")
         self.table.remove_control_instance(address)
         self.entries.remove_list(address)
@@ -291,6 +325,17 @@
     feed.on_rows(message)
 
 
+@_dispatch.register
+def _(message: messages.Location, address, feed) -> None:
+    feed.on_location(message, address)
+
+
+@_dispatch.register
+def _(message: messages.AskRows, address, feed) -> None:
+    del message
+    feed.on_ask_rows(address)
+
+
 @_dispatch.register
 def _(message: messages.Heard, address, feed) -> None:
     feed.on_heartbeat_state(message, address)
--- /dev/null
+++ b/auburnway/registrar/message_handlers.py
@@ -0,0 +1,46 @@
+"""Calls the method of a control instance that handles a message."""
+
+import functools
+
+from auburnway.net import stream as stream_lib
+from auburnway.registrar import messages
+
+
+@functools.singledispatch
+def handle(message, stream: stream_lib.Stream, node) -> None:
+    """Handles a message of a stream; ignores other message types."""
+
+
+@handle.register
+def _(message: messages.Hello, stream, node) -> None:
+    node.on_hello(message, stream)
+
+
+@handle.register
+def _(message: messages.EntryState, stream, node) -> None:
+    node.on_entry_state(message, stream)
+
+
+@handle.register
+def _(message: messages.Rows, stream, node) -> None:
+    node.on_rows(message)
+
+
+@handle.register
+def _(message: messages.Subscribe, stream, node) -> None:
+    node.on_subscribe(message, stream)
+
+
+@handle.register
+def _(message: messages.Fetch, stream, node) -> None:
+    node.on_fetch(stream)
+
+
+@handle.register
+def _(message: messages.Raft, stream, node) -> None:
+    node.on_raft(message)
+
+
+@handle.register
+def _(message: messages.Join, stream, node) -> None:
+    node.on_join(message)
--- a/auburnway/registrar/messages.py
+++ b/auburnway/registrar/messages.py
@@ -40,6 +40,39 @@
     rows: tuple[typing.Any, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Location:
+    """Data centre of the sending control instance.
+
+    Attributes:
+      data_center: Name of the data centre.
+    """
+
+    data_center: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Subscribe:
+    """Whether the sending entry wants news of backend servers.
+
+    Until an entry has said so, it gets all news, as an entry of an earlier
+    version does.
+
+    Attributes:
+      is_wanted: Whether the receiver is to send all rows that change.
+      digest: Digest of the sender's table; the receiver sends all its rows
+        first if its own table differs.
+    """
+
+    is_wanted: bool
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AskRows:
+    """Asks an entry for its rows of backend servers."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Heard:
     """Whether the sending control instance gets heartbeats of these servers.
@@ -157,6 +190,9 @@
     Hello
     | Controls
     | Rows
+    | Location
+    | Subscribe
+    | AskRows
     | Heard
     | EntryState
     | Entries
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -8,7 +8,6 @@
 """
 
 from collections import abc
-import functools
 
 import loguru
 from returns import pipeline
@@ -25,10 +24,12 @@
 from auburnway.net import stream as stream_lib
 from auburnway.registrar import data_folder
 from auburnway.registrar import entry_states
+from auburnway.registrar import message_handlers
 from auburnway.registrar import messages
 from auburnway.registrar import replies
 from auburnway.registrar import revision_machine
 from auburnway.registrar import settings as settings_lib
+from auburnway.registrar import subscribers
 from auburnway.registrar import table_file
 from auburnway.storage import disk as disk_lib
 
@@ -97,6 +98,7 @@
         self._last_heartbeat_ms: dict[str, float] = {}
         self._entries = entry_states.EntryStates()
         self._sent_revision = -1
+        self._subscribers = subscribers.Subscribers()
         self.consensus = consensus.Node(
             identity,
             self.address,
@@ -252,9 +254,24 @@
                 self._clock,
                 self._on_open,
                 self._on_message,
+                self._on_instance_lost,
             )
         return dialer
 
+    def _on_instance_lost(self, stream: stream_lib.Stream) -> None:
+        """Tells all entries what the subscribers of a lost one may lack."""
+        del stream
+        recent_ids = self._subscribers.recent(self._clock.now_ms())
+        if recent_ids:
+            self._push_to_entries(self._pack_rows(recent_ids))
+
+    def _reaches_all_instances(self) -> bool:
+        return all(
+            dialer.stream is not None
+            for address, dialer in self._dialers.items()
+            if address != self.address
+        )
+
     def _on_open(self, stream: stream_lib.Stream) -> None:
         hello = messages.Hello("control", self.address)
         stream.send(messages.encode(hello))
@@ -273,9 +290,10 @@
                 "ignored an undecodable message: {}", repr(error)
             )
             return
-        _dispatch(message, stream, self)
+        message_handlers.handle(message, stream, self)
 
     def _on_lost(self, stream: stream_lib.Stream) -> None:
+        self._subscribers.drop(stream)
         if self._entries.drop(stream):
             loguru.logger.bind(entry=str(stream.context)).warning(
                 "lost the stream of an entry"
@@ -302,8 +320,11 @@
 
     def _send_full_state(self, stream: stream_lib.Stream) -> None:
         """Sends the whole state to a new entry, which then gets updates."""
-        self._send_table(stream)
+        if self._subscribers.wants(stream):
+            self._send_table(stream)
         initial_messages = [
+            messages.Location(self._settings.data_center),
+            messages.AskRows() if self._subscribers.should_ask_rows() else None,
             self._controls(),
             messages.Heard(tuple(self._last_heartbeat_ms), True),
             self._entries.last_list(),
@@ -315,6 +336,14 @@
             if message is not None:
                 stream.send(messages.encode(message))
 
+    def on_subscribe(
+        self, subscribe: messages.Subscribe, stream: stream_lib.Stream
+    ) -> None:
+        """Starts or ends the news of backend servers to an entry."""
+        self._subscribers.put(stream, subscribe.is_wanted)
+        if subscribe.is_wanted and subscribe.digest != self.table.digest():
+            self._send_table(stream)
+
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows and forwards the changed rows to the entries."""
         now_ms = self._clock.now_ms()
@@ -350,17 +379,26 @@
     def _push_rows(
         self, server_ids: tuple[str, ...], to_controls: bool = True
     ) -> None:
-        rows = tuple(
-            server_table.encode_row(self.table.get(server_id))
-            for server_id in server_ids
-        )
-        frame = stream_lib.pack(messages.encode(messages.Rows(rows)))
-        self._push_to_entries(frame)
+        frame = self._pack_rows(server_ids)
+        reaches_all = not to_controls or self._reaches_all_instances()
+        for stream in self._subscribers.recipients(
+            self._entries.streams(), reaches_all
+        ):
+            stream.send_packed(frame)
         if to_controls:
+            self._subscribers.on_change(server_ids, self._clock.now_ms())
             for dialer in self._dialers.values():
                 if dialer.stream is not None:
                     dialer.stream.send_packed(frame)
 
+    def _pack_rows(self, server_ids: tuple[str, ...]) -> bytes:
+        rows = tuple(
+            server_table.encode_row(row)
+            for row in map(self.table.get, server_ids)
+            if row is not None
+        )
+        return stream_lib.pack(messages.encode(messages.Rows(rows)))
+
     def _push_heard(self, server_ids: tuple[str, ...], heard: bool) -> None:
         message = messages.Heard(server_ids, heard)
         self._push_to_entries(stream_lib.pack(messages.encode(message)))
@@ -444,38 +482,3 @@
         controls = self._controls()
         if controls is not None:
             self._push_to_entries(stream_lib.pack(messages.encode(controls)))
-
-
-@functools.singledispatch
-def _dispatch(message, stream: stream_lib.Stream, node: Node) -> None:
-    """Handles a message of a stream; ignores other message types."""
-
-
-@_dispatch.register
-def _(message: messages.Hello, stream, node) -> None:
-    node.on_hello(message, stream)
-
-
-@_dispatch.register
-def _(message: messages.EntryState, stream, node) -> None:
-    node.on_entry_state(message, stream)
-
-
-@_dispatch.register
-def _(message: messages.Rows, stream, node) -> None:
-    node.on_rows(message)
-
-
-@_dispatch.register
-def _(message: messages.Fetch, stream, node) -> None:
-    node.on_fetch(stream)
-
-
-@_dispatch.register
-def _(message: messages.Raft, stream, node) -> None:
-    node.on_raft(message)
-
-
-@_dispatch.register
-def _(message: messages.Join, stream, node) -> None:
-    node.on_join(message)
