Serve by the last committed configuration right after a restart

Change: a control instance keeps a copy of the newest configuration that it has applied (registrar.revision_file) and offers it to entries before it knows a leader. What was applied stays committed; it may be older than the newest for the time of an election. Reads of the configuration still need a leader. The test of the node failed before: no revision was offered.

--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -22,11 +22,13 @@
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
+from auburnway.registrar import copy_writer
 from auburnway.registrar import data_folder
 from auburnway.registrar import entry_states
 from auburnway.registrar import message_handlers
 from auburnway.registrar import messages
 from auburnway.registrar import replies
+from auburnway.registrar import revision_file
 from auburnway.registrar import revision_machine
 from auburnway.registrar import settings as settings_lib
 from auburnway.registrar import subscribers
@@ -97,7 +99,8 @@
         self._dialers: dict[str, stream_lib.Dialer] = {}
         self._last_heartbeat_ms: dict[str, float] = {}
         self._entries = entry_states.EntryStates()
-        self._sent_revision = -1
+        self._saved_state = revision_file.load(disk)
+        self._sent_revision = self._saved_state.revision
         self._subscribers = subscribers.Subscribers()
         self.consensus = consensus.Node(
             identity,
@@ -129,7 +132,11 @@
         loop.stack.callback(self._listener.close)
         loop.stack.callback(self._close_dialers)
         self._sync_dialers()
-        self._saver = table_file.TableSaver(disk, loop.stack)
+        writer = copy_writer.CopyWriter(disk, loop.stack)
+        self._table_saver = table_file.TableSaver(writer)
+        self._revision_saver = revision_file.RevisionSaver(
+            writer, self._saved_state
+        )
         for row in table_file.load(disk):
             self.table.put(row, self._started_ms)
         loop.timers.every(TICK_MS, self._tick)
@@ -329,7 +336,7 @@
             messages.Heard(tuple(self._last_heartbeat_ms), True),
             self._entries.last_list(),
         ]
-        revision = self.consensus.state.revision
+        revision = self._newest_state().revision
         if revision >= 0:
             initial_messages.append(messages.Revision(revision))
         for message in initial_messages:
@@ -357,11 +364,16 @@
 
     def on_fetch(self, stream: stream_lib.Stream) -> None:
         """Sends the newest configuration that this instance has applied."""
-        state = self.consensus.state
+        state = self._newest_state()
         if state.revision >= 0:
             document = messages.Document(state.revision, state.content)
             stream.send(messages.encode(document))
 
+    def _newest_state(self) -> revision_machine.State:
+        """Returns the newest configuration that is known to be committed."""
+        states = (self._saved_state, self.consensus.state)
+        return max(states, key=lambda state: state.revision)
+
     def on_raft(self, raft: messages.Raft) -> None:
         """Passes a Raft message to the consensus node."""
         message = raft_wire.decode(raft.message)
@@ -436,7 +448,8 @@
         self._sync_dialers()
 
     def _save(self) -> None:
-        self._saver.save(self.table.rows())
+        self._table_saver.save(self.table.rows())
+        self._revision_saver.save(self.consensus.state)
 
     def _controls(self) -> messages.Controls | None:
         """Returns the control instances; None before they are known.
@@ -474,6 +487,7 @@
         revision = self.consensus.state.revision
         if revision > self._sent_revision:
             self._sent_revision = revision
+            self._revision_saver.save(self.consensus.state)
             message = messages.Revision(revision)
             self._push_to_entries(stream_lib.pack(messages.encode(message)))
             loguru.logger.bind(revision=revision).info(
--- a/auburnway/registrar/node_test.py
+++ b/auburnway/registrar/node_test.py
@@ -8,8 +8,10 @@
 from auburnway.registrar import data_folder
 from auburnway.registrar import messages
 from auburnway.registrar import node as node_lib
+from auburnway.registrar import revision_file
 from auburnway.registrar import settings as settings_lib
 from auburnway.storage import disk as disk_lib
+from auburnway.storage import frames
 
 
 class Stream:
@@ -26,8 +28,8 @@
         del frame
 
 
-def initial_messages(is_first_start):
-    """Returns the messages of an instance with an empty folder to an entry."""
+def initial_messages(is_first_start, disk=None):
+    """Returns the messages of an instance without a leader to an entry."""
     with socket.create_server(("127.0.0.1", 0)) as probe:
         port = probe.getsockname()[1]
     seeds = tuple(f"127.0.0.{n}:80" for n in (1, 2, 3))
@@ -41,7 +43,7 @@
         seeds=seeds,
         is_first_start=is_first_start,
     )
-    disk = disk_lib.FakeDisk()
+    disk = disk or disk_lib.FakeDisk()
     identity, store = data_folder.open_store(settings, disk)
     loop = process.Loop(clock_lib.ManualClock())
     sockets = socket_set.SocketSet(loop.poller).register(loop.root)
@@ -50,6 +52,7 @@
         stream = Stream()
         node.on_hello(messages.Hello("entry", "e"), stream)
         node.on_entry_state(messages.EntryState("e:1", "z", True), stream)
+        node.on_fetch(stream)
     return stream.sent
 
 
@@ -66,3 +69,14 @@
     # Guards against entries that close their streams to all other instances
     # because an instance that lost its disk knows only the seeds.
     assert controls(initial_messages(is_first_start=False)) == []
+
+
+def test_saved_configuration_is_offered_before_a_leader_is_elected():
+    # Guards against refusing all requests after a loss of all processes until
+    # an election has ended.
+    disk = disk_lib.FakeDisk()
+    payload = [7, b"digest", b"content"]
+    disk.replace(revision_file.FILE, frames.encode(0, payload))
+    sent = initial_messages(is_first_start=True, disk=disk)
+    assert messages.Revision(7) in sent
+    assert sent[-1] == messages.Document(7, b"content")
--- a/auburnway/registrar/table_file.py
+++ b/auburnway/registrar/table_file.py
@@ -7,14 +7,12 @@
 """
 
 from collections import abc
-from concurrent import futures
-import contextlib
 
 import loguru
 
 from auburnway.core import server_table
+from auburnway.registrar import copy_writer
 from auburnway.storage import disk as disk_lib
-from auburnway.storage import frames
 
 FILE = "servers"
 
@@ -22,55 +20,33 @@
 def load(disk: disk_lib.Disk) -> tuple[server_table.Row, ...]:
     """Returns the rows of the copy; empty if it is absent or corrupt."""
     try:
-        data = disk.read(FILE)
-    except disk_lib.DiskFault as fault:
-        loguru.logger.warning(fault.error.message)
-        return ()
-    decoded = frames.decode(data, 0) if data is not None else None
-    if decoded is None:
-        return ()
-    try:
-        return tuple(map(server_table.decode_row, decoded[1]))
+        return tuple(
+            map(server_table.decode_row, copy_writer.read(disk, FILE) or ())
+        )
     except (TypeError, ValueError, LookupError) as error:
         loguru.logger.warning("cannot decode the copy of the table: {}", error)
         return ()
 
 
 class TableSaver:
-    """Saves the table in another thread, as a disk may block for seconds.
+    """Saves the table when it has changed.
 
     Args:
-      disk: Data folder.
-      stack: Exit stack that shuts the thread down.
+      writer: Writer of the data folder.
     """
 
-    def __init__(self, disk: disk_lib.Disk, stack: contextlib.ExitStack):
-        self._disk = disk
+    def __init__(self, writer: copy_writer.CopyWriter):
+        self._writer = writer
         self._saved: tuple[server_table.Row, ...] = ()
-        self._pending_save: futures.Future | None = None
-        self._executor = futures.ThreadPoolExecutor(1, "table")
-        stack.callback(self._executor.shutdown, wait=False)
 
     def save(self, rows: abc.Sequence[server_table.Row]) -> None:
         """Saves changed rows unless another save is in progress."""
         rows = tuple(rows)
-        is_busy = (
-            self._pending_save is not None and not self._pending_save.done()
-        )
-        if is_busy or _saved_fields(rows) == _saved_fields(self._saved):
+        is_equal = _saved_fields(rows) == _saved_fields(self._saved)
+        if is_equal or self._writer.is_busy(FILE):
             return
         self._saved = rows
-        payload = [server_table.encode_row(row) for row in rows]
-        frame = frames.encode(0, payload)
-        self._pending_save = self._executor.submit(self._write, frame)
-
-    def _write(self, frame: bytes) -> None:
-        try:
-            self._disk.replace(FILE, frame)
-        except disk_lib.DiskFault as fault:
-            loguru.logger.warning(
-                "cannot save a copy of the table: {}", fault.error.message
-            )
+        self._writer.write(FILE, [server_table.encode_row(row) for row in rows])
 
 
 def _saved_fields(rows: abc.Sequence[server_table.Row]) -> list[tuple]:
--- a/auburnway/registrar/table_file_test.py
+++ b/auburnway/registrar/table_file_test.py
@@ -3,6 +3,7 @@
 import contextlib
 
 from auburnway.core import server_table
+from auburnway.registrar import copy_writer
 from auburnway.registrar import table_file
 from auburnway.storage import disk as disk_lib
 
@@ -13,9 +14,9 @@
 
 def save_rows(disk, *rows):
     with contextlib.ExitStack() as stack:
-        saver = table_file.TableSaver(disk, stack)
-        saver.save(rows)
-        saver._pending_save.result()
+        writer = copy_writer.CopyWriter(disk, stack)
+        table_file.TableSaver(writer).save(rows)
+        writer.wait(table_file.FILE)
 
 
 def test_saved_rows_are_loaded(tmp_path):
