Play bytes without end and cut replies in the soak

The soak had no backend server that sends bytes in place of a reply. The simulated server of the platform's tests has the fault, and the tests of the real program use it.

--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -4,6 +4,7 @@
 ends only the processes that it started.
 """
 
+import dataclasses
 import http.client
 import http.server
 import json
@@ -43,6 +44,24 @@
         connection.close()
 
 
+REPLY_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+
+
+@dataclasses.dataclass(frozen=True)
+class FaultyReply:
+    """Bytes that a backend server sends in place of a reply.
+
+    Attributes:
+      head: Bytes sent first, with `%s` for the id of the request.
+      piece: Bytes that are then sent without end; empty to close at once.
+      gap_s: Pause between the pieces in seconds.
+    """
+
+    head: bytes
+    piece: bytes = b""
+    gap_s: float = 0.0
+
+
 class Backend:
     """A simulated backend server whose behaviour tests can change.
 
@@ -50,6 +69,7 @@
       state: State that heartbeats announce.
       delay_s: Execution time of a request in seconds.
       rejects: Whether requests are rejected as not executed.
+      faulty_reply: What is sent in place of a reply; None to reply properly.
       requests: Id, path and headers of each executed request.
       runs: Id and monotonic time in s of each executed request.
       cancelled: Ids of the requests that were cancelled while executing.
@@ -65,6 +85,7 @@
         self.state = "ready"
         self.delay_s = 0.0
         self.rejects = False
+        self.faulty_reply: FaultyReply | None = None
         self.requests = []
         self.runs = []
         self.cancelled = []
@@ -105,6 +126,10 @@
             self._reply(handler, 503, b"", {"Not-Executed": "full"})
             return
         self.runs.append((request_id, time.monotonic()))
+        if self.faulty_reply is not None:
+            handler.close_connection = True
+            self._send_faulty(handler.connection, request_id)
+            return
         request_headers = {k.lower(): v for k, v in handler.headers.items()}
         self.requests.append((request_id, handler.path, request_headers))
         if self._wait_for_cancellation(handler.connection):
@@ -118,6 +143,17 @@
         }
         self._reply(handler, 200, self.records or b"echo:" + body, headers)
 
+    def _send_faulty(self, connection, request_id):
+        faulty_reply = self.faulty_reply
+        try:
+            connection.sendall(faulty_reply.head % request_id.encode())
+            while faulty_reply.piece and self.faulty_reply is faulty_reply:
+                connection.sendall(faulty_reply.piece)
+                time.sleep(faulty_reply.gap_s)
+        except OSError:
+            # The entry closes a connection that sends too much.
+            pass
+
     def _wait_for_cancellation(self, connection):
         """Waits `delay_s`; returns whether the client has disconnected."""
         deadline_s = time.monotonic() + self.delay_s
--- a/auburnway/platform/trouble_test.py
+++ b/auburnway/platform/trouble_test.py
@@ -22,46 +22,6 @@
 pytestmark = pytest.mark.processes
 
 
-class FaultyBackend(testing.Backend):
-    """A simulated backend server that can send bytes that are no answer.
-
-    Attributes:
-      head: Bytes sent first; None to answer as a sound server.
-      piece: Bytes that are then sent without end; empty to close.
-      gap_s: Pause between the pieces in seconds.
-      sent_bytes: Bytes sent in reply to the last request.
-    """
-
-    head = None
-    piece = b""
-    gap_s = 0.0
-    sent_bytes = 0
-
-    def serve(self, handler):
-        if (
-            self.head is None
-            or handler.command == "GET"
-            and (handler.path == "/health")
-        ):
-            super().serve(handler)
-            return
-        request_id = handler.headers["Request-Id"]
-        handler.close_connection = True
-        self.runs.append((request_id, time.monotonic()))
-        self.sent_bytes = 0
-        try:
-            self._send(handler, self.head % request_id.encode())
-            while self.piece:
-                self._send(handler, self.piece)
-                time.sleep(self.gap_s)
-        except OSError:
-            pass
-
-    def _send(self, handler, data):
-        handler.connection.sendall(data)
-        self.sent_bytes += len(data)
-
-
 @pytest.fixture(name="platform", scope="module")
 def _platform(tmp_path_factory):
     worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
@@ -74,9 +34,7 @@
         backends = [("sa-1", "sa"), ("sb-1", "sb")]
         backends += [(f"solo-{n}", "solo") for n in range(SERVERS)]
         for name, service in backends:
-            backend = FaultyBackend(name, service, records=testing.RECORDS[:4])
-            platform.backends.append(backend)
-            platform.send_heartbeat(backend)
+            platform.add_backend(name, service, records=testing.RECORDS[:4])
         for entry in range(3):
             for path in ("/one/x", "/all/x"):
                 platform.request_until_success(path, entry=entry)
@@ -87,15 +45,14 @@
 
 @pytest.fixture(name="set_fault")
 def _set_fault(platform):
-    def set_fault(head, piece=b"", gap_s=0.0, service="solo"):
+    def set_fault(faulty_reply, service="solo"):
         for backend in platform.backends:
             if backend.service == service:
-                backend.head, backend.piece = head, piece
-                backend.gap_s = gap_s
+                backend.faulty_reply = faulty_reply
 
     yield set_fault
     for service in ("solo", "sa", "sb"):
-        set_fault(None, service=service)
+        set_fault(None, service)
 
 
 def memory_kb(machine, field):
@@ -107,12 +64,12 @@
     pathlib.Path(f"/proc/{machine.process.pid}/clear_refs").write_text("5")
 
 
-HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+HEAD = testing.REPLY_HEAD
 ENDLESS = {
-    "header": (HEAD + b"A: ", b"a" * 65536),
-    "headers": (HEAD, b"A: b\r\n" * 8192),
-    "body": (HEAD + b"\r\n", b"a" * 65536),
-    "chunks": (
+    "header": testing.FaultyReply(HEAD + b"A: ", b"a" * 65536),
+    "headers": testing.FaultyReply(HEAD, b"A: b\r\n" * 8192),
+    "body": testing.FaultyReply(HEAD + b"\r\n", b"a" * 65536),
+    "chunks": testing.FaultyReply(
         HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"8000\r\n" + b"a" * 0x8000 + b"\r\n",
     ),
@@ -123,7 +80,7 @@
 def test_replies_without_end_take_little_memory(platform, set_fault, name):
     # Guards against an entry that is killed because a faulty server fills its
     # memory.
-    set_fault(*ENDLESS[name])
+    set_fault(ENDLESS[name])
     entry = platform.entries[0]
     before_kb = memory_kb(entry, "VmRSS")
     reset_peak_memory(entry)
@@ -141,14 +98,14 @@
 
 def test_part_without_end_is_left_out(platform, set_fault):
     # Guards against a gathered answer with a part that was cut.
-    set_fault(*ENDLESS["body"], service="sb")
+    set_fault(ENDLESS["body"], "sb")
     status, headers, _ = platform.request("/all/x", Request_Id="g1")
     assert (status, headers["missing-parts"]) == (200, "1")
     assert headers["part-stamps"] == "sa-1.g1"
 
 
 def test_slow_bytes_without_end_end_at_the_deadline(platform, set_fault):
-    set_fault(HEAD + b"\r\n", b"a", gap_s=0.1)
+    set_fault(testing.FaultyReply(HEAD + b"\r\n", b"a", gap_s=0.1))
     started_s = time.monotonic()
     status, _, _ = platform.request(
         "/unsafe/x", method="POST", Deadline_Ms="800"
@@ -169,13 +126,13 @@
 @pytest.mark.parametrize("head", CUT_HEADS)
 def test_reply_that_is_cut_is_never_a_success(platform, set_fault, head):
     # Guards against framing an answer that was cut as a whole one.
-    set_fault(head)
+    set_fault(testing.FaultyReply(head))
     for path, method in (("/one/x", "GET"), ("/unsafe/x", "POST")):
         status, headers, _ = platform.request(path, method=method)
         assert status in (502, 503, 504)
         assert "Response-Stamp" not in headers
     set_fault(None)
-    set_fault(head, service="sb")
+    set_fault(testing.FaultyReply(head), "sb")
     status, headers, _ = platform.request("/all/x", Request_Id="g2")
     assert (status, headers["missing-parts"]) == (200, "1")
 
--- a/auburnway/soak/environment.py
+++ b/auburnway/soak/environment.py
@@ -31,6 +31,21 @@
 # server.
 DRAIN_STOP_DELAY_S = checks.DRAIN_GRACE_S + 0.5
 STOP_TIMEOUT_S = 8.0
+FAULTY_REPLIES = {
+    "endless_head": testing.FaultyReply(
+        testing.REPLY_HEAD + b"A: ", b"a" * 65536
+    ),
+    "endless_body": testing.FaultyReply(
+        testing.REPLY_HEAD + b"\r\n", b"a" * 65536
+    ),
+    "slow_body": testing.FaultyReply(
+        testing.REPLY_HEAD + b"\r\n", b"a", gap_s=0.1
+    ),
+    "cut_head": testing.FaultyReply(testing.REPLY_HEAD[:-6]),
+    "cut_body": testing.FaultyReply(
+        testing.REPLY_HEAD + b"Content-Length: 64\r\n\r\nshort"
+    ),
+}
 
 
 class Server:
@@ -354,6 +369,14 @@
     backend.rejects = False
 
 
+@_run_fault.register
+def _(fault: plan.SendFaulty, environment: Environment) -> None:
+    backend = environment.servers[fault.index].backend
+    backend.faulty_reply = FAULTY_REPLIES[fault.form]
+    time.sleep(fault.for_s)
+    backend.faulty_reply = None
+
+
 @_run_fault.register
 def _(fault: plan.Drain, environment: Environment) -> None:
     environment.replace_server(fault.index)
--- a/auburnway/soak/plan.py
+++ b/auburnway/soak/plan.py
@@ -15,6 +15,15 @@
 # Time without new faults at the end of a run, in which all services must
 # recover.
 FAULT_FREE_S = 12.0
+# Forms of bytes that are no reply: a head or a body without end, fast or slow,
+# and a head or a body that is cut.
+FAULTY_FORMS = (
+    "endless_head",
+    "endless_body",
+    "slow_body",
+    "cut_head",
+    "cut_body",
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +98,21 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class SendFaulty:
+    """Bytes in place of replies of a backend server for `for_s`.
+
+    Attributes:
+      index: Index of the backend server.
+      form: Key of `FAULTY_FORMS`.
+      for_s: Duration of the fault.
+    """
+
+    index: int
+    form: str
+    for_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Drain:
     """Drain of a backend server, which a new server replaces."""
@@ -110,6 +134,7 @@
     | TearLog
     | LinkFault
     | Reject
+    | SendFaulty
     | Drain
     | Change
 )
@@ -143,6 +168,7 @@
         *_control_faults(rng, end_s, controls),
         *_entry_faults(rng, end_s, entries),
         *_server_faults(rng, end_s, servers),
+        *_faulty_replies(rng, end_s, servers),
     ]
     return tuple(sorted(faults, key=lambda timed_fault: timed_fault.at_s))
 
@@ -216,3 +242,17 @@
         )
         faults.append(TimedFault(at_s, fault))
     return faults
+
+
+def _faulty_replies(rng, end_s, count):
+    return [
+        TimedFault(
+            at_s,
+            SendFaulty(
+                rng.randrange(count),
+                rng.choice(FAULTY_FORMS),
+                rng.uniform(0.2, 2.0),
+            ),
+        )
+        for at_s in _random_times(rng, end_s, 0.5, 4.0)
+    ]
