Let requests wait for the first configuration of an entry

Change: policy.start_wait lets a request wait for half of its time left while the entry is less than 2 s old, within a number and a size of waiting requests; they are then served by rank and deadline (gateway.start_queue). The test of the real program failed before.

--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -11,6 +11,7 @@
 from auburnway.gateway import dispatcher as dispatcher_lib
 from auburnway.gateway import feed as feed_lib
 from auburnway.gateway import settings as settings_lib
+from auburnway.gateway import start_queue
 from auburnway.gateway import sub_request as sub_request_lib
 from auburnway.kernel import process
 from auburnway.kernel import timers as timers_lib
@@ -23,6 +24,9 @@
 
 # Time left of a request that states none; the route's timeout limits it.
 MAX_DEADLINE_MS = 3_600_000.0
+# Time after which a client may come back that was refused because the entry
+# has no configuration.
+NO_CONFIGURATION_RETRY_MS = 200.0
 DRAIN_CHECK_MS = 100.0
 # A stopping entry serves for this many times the time for which clients cache
 # the directory's answer: some cache it longer than they are told.
@@ -84,6 +88,9 @@
         self._stop: stop_admission.Stop | None = None
         self._drain_timer: timers_lib.Timer | None = None
         self._open_requests: set[client_request_lib.ClientRequest] = set()
+        self._start_queue = start_queue.StartQueue(
+            loop.timers, loop.clock, self._refuse_unconfigured
+        )
         # Called with rank, status, reason and duration in ms of each answer.
         self.on_answer: abc.Callable[[int, int, str, float], None] | None = None
         self._probe_schedule = shard_admission.ProbeSchedule()
@@ -157,6 +164,7 @@
             self._settings.grace_ms,
         )
         loguru.logger.info("stopping")
+        self._start_queue.refuse_all()
         self.feed.report_ready(False)
         self.feed.entries.remove_entry(self._settings.client_address)
         self.client_server.closes_after_reply = True
@@ -195,6 +203,23 @@
         self._split_credits = {}
         if self.is_ready:
             self.feed.report_ready(True)
+        self._serve_waiting()
+
+    def _serve_waiting(self) -> None:
+        """Processes the requests that waited for the first configuration."""
+        requests = self._start_queue.take_all()
+        if requests:
+            loguru.logger.bind(count=len(requests)).info(
+                "requests waited for the configuration"
+            )
+        for request in sorted(requests, key=self._urgency):
+            self._on_request(request)
+
+    def _urgency(self, request: web_server.Request) -> tuple[int, float]:
+        """Returns the sort key of a request: its rank, then its deadline."""
+        route = self._match(request)
+        rank = route.rank if route is not None else 0
+        return rank, request.received_ms + self._time_left_ms(request)
 
     # Requests.
 
@@ -203,8 +228,10 @@
         if refused is not None:
             self._answer(request, None, refused)
             return
-        host = request.fields[b"host"].decode("latin-1")
-        route = self._matcher.match(host, request.path.decode("latin-1"))
+        if self._matcher is None:
+            self._wait_for_configuration(request)
+            return
+        route = self._match(request)
         if route is None:
             self._answer(
                 request, None, client_request_lib.refusal(404, "no_route")
@@ -245,6 +272,22 @@
         request.on_gone = on_gone
         client_request.start()
 
+    def _match(self, request: web_server.Request) -> route_table.Route | None:
+        host = request.fields[b"host"].decode("latin-1")
+        return self._matcher.match(host, request.path.decode("latin-1"))
+
+    def _wait_for_configuration(self, request: web_server.Request) -> None:
+        if self._stop is not None:
+            self._refuse_unconfigured(request)
+            return
+        self._start_queue.add(request, self._time_left_ms(request))
+
+    def _refuse_unconfigured(self, request: web_server.Request) -> None:
+        refused = client_request_lib.refusal(
+            503, "no_configuration", NO_CONFIGURATION_RETRY_MS
+        )
+        self._answer(request, None, refused)
+
     def _gathered_request(
         self, context, on_answer
     ) -> client_request_lib.GatheredRequest | None:
@@ -273,8 +316,6 @@
     def _refuse_early(
         self, request: web_server.Request
     ) -> client_request_lib.Answer | None:
-        if self._matcher is None:
-            return client_request_lib.refusal(503, "no_configuration", 200.0)
         hosts = [n for n, _ in request.headers if n.lower() == b"host"]
         if len(hosts) != 1:
             return client_request_lib.refusal(400, "bad_host")
@@ -284,18 +325,15 @@
             return client_request_lib.refusal(400, "no_request_id")
         return None
 
+    def _time_left_ms(self, request: web_server.Request) -> float:
+        """Returns the time that a request states until its deadline."""
+        header = request.fields.get(self._dialect.time_left.lower(), b"")
+        return float(header) if header.isdigit() else MAX_DEADLINE_MS
+
     def _request_context(
         self, request: web_server.Request, route: route_table.Route
     ) -> sub_request_lib.RequestContext:
-        time_left_header = request.fields.get(
-            self._dialect.time_left.lower(), b""
-        )
-        left_ms = (
-            float(time_left_header)
-            if time_left_header.isdigit()
-            else MAX_DEADLINE_MS
-        )
-        left_ms = min(left_ms, route.timeout_ms)
+        left_ms = min(self._time_left_ms(request), route.timeout_ms)
         return sub_request_lib.RequestContext(
             request.fields[self._dialect.request_id.lower()],
             route,
--- a/auburnway/platform/trouble_test.py
+++ b/auburnway/platform/trouble_test.py
@@ -147,6 +147,23 @@
     )
 
 
+def test_request_waits_for_an_entry_that_restarts_with_control(platform):
+    # Guards against refusals after a loss of all processes: entries are up
+    # before the control instance that has their configuration.
+    control, entry = platform.controls[0], platform.entries[0]
+    control.kill()
+    entry.kill()
+    entry.start()
+    testing.wait_until(entry.has_started)
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        future = executor.submit(
+            platform.request, "/all/x", Deadline_Ms="3600000"
+        )
+        control.start()
+        status, _, _ = future.result()
+    assert status == 200
+
+
 def test_stopping_entry_takes_only_what_it_can_finish(platform):
     # Guards against a request that is taken late in the grace time and cut:
     # it may have run, and may not be sent again.
