Keep retry budget for queries that would fail without it

Hedges had used up the budget (3,047 hedges beside 2,540 retries), and a part without budget gave up at the latency objective. The client then sent all 54 parts again. Change: hedges leave a quarter of the tokens for retries; a part of a query waits for budget for half of the time after the objective, but leaves a token for requests in time; a query that can't have enough parts waits for none.

--- a/auburnway/gateway/client_request.py
+++ b/auburnway/gateway/client_request.py
@@ -269,6 +269,13 @@
             self._coverage >= self._gather.min_coverage - 1e-9
         )
 
+    @property
+    def _is_success_possible(self) -> bool:
+        """Whether the parts in hand and those to come can be enough."""
+        count = len(self._parts) + self._open_count
+        shards = len(self._gather.shards)
+        return count >= self._gather.min_coverage * shards - 1e-9
+
     def _on_sub_request_done(
         self, sub_request: sub_request_lib.SubRequest
     ) -> None:
@@ -285,6 +292,11 @@
             self._is_past_target and self._has_enough_parts
         ):
             self._finish("incomplete")
+        elif not self._is_success_possible:
+            # Retries for an answer that will fail anyway would take the
+            # budget of other queries.
+            for other in self._sub_requests:
+                other.stop_retrying()
 
     def _trim(self, sub_request: sub_request_lib.SubRequest) -> None:
         """Keeps only the records of a part that the answer can include."""
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -39,6 +39,9 @@
 BURST_FACTOR = 0.6
 REFILL_FACTOR = 0.2
 BUDGET_WINDOW_S = 10.0
+# Share of the tokens that hedges leave for retries: a missing retry leaves a
+# shard out of the answer, a missing hedge may only make the answer later.
+HEDGE_RESERVE_SHARE = 0.25
 # Number of entries that are assumed to share budget and connections while the
 # list of entries is not known, as after a restart of the whole system.
 DEFAULT_ENTRY_COUNT = 8
@@ -144,7 +147,11 @@
                 reserve=0.0,
                 tokens=burst / 2,
             )
-        budget.set_burst(burst, REFILL_FACTOR * slack / BUDGET_WINDOW_S)
+        budget.set_burst(
+            burst,
+            REFILL_FACTOR * slack / BUDGET_WINDOW_S,
+            HEDGE_RESERVE_SHARE * burst,
+        )
         return budget
 
     def stats(self, row: server_table.Row) -> server_choice.ServerStats:
--- a/auburnway/gateway/sub_request.py
+++ b/auburnway/gateway/sub_request.py
@@ -23,6 +23,10 @@
 HEDGE_RECHECK_MS = 10.0
 # Delay until a retry that found no budget is tried again.
 RETRY_RECHECK_MS = 5.0
+# Share of the time between the latency objective and the deadline in which a
+# part of a query waits for the budget of a retry. The rest remains for another
+# attempt of the client.
+LATE_RETRY_SHARE = 0.5
 # Delay until a send is tried again after all allowed connections of this entry
 # were in use.
 CONNECTION_RECHECK_MS = 5.0
@@ -114,6 +118,7 @@
             context.route.max_attempts, context.route.is_repeatable
         )
         self._sends: list[Send] = []
+        self._may_send_again = True
         self._timer: timers_lib.Timer | None = None
 
     @property
@@ -144,6 +149,15 @@
             self.outcome = attempts_lib.Outcome.CANCELLED
             self._end_sends()
 
+    def stop_retrying(self) -> None:
+        """Sends no more hedges and retries; open sends continue.
+
+        Without an open send the sub-request ends now.
+        """
+        self._may_send_again = False
+        if self.outcome is None and self._sends and not self._has_open_sends():
+            self._end_without_reply()
+
     def _send(self, reason: str = "") -> None:
         """Sends the request to the best server that was not yet tried.
 
@@ -222,7 +236,8 @@
     def _hedge(self) -> None:
         self._timer = None
         dispatcher = self._dispatcher
-        if self.outcome is not None or not self._attempts.may_hedge():
+        may_hedge = self._may_send_again and self._attempts.may_hedge()
+        if self.outcome is not None or not may_hedge:
             return
         # A hedge to a full server would only lengthen the queue there.
         has_room = dispatcher.has_room(
@@ -266,23 +281,42 @@
         if self.outcome is not None:
             return
         dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
-        may_retry = self._attempts.may_retry() and dispatcher.has_untried(
-            self.service, self._tried_ids()
+        may_retry = (
+            self._may_send_again
+            and self._attempts.may_retry()
+            and dispatcher.has_untried(self.service, self._tried_ids())
         )
-        if may_retry and dispatcher.budget(self.service).try_spend(now_ms):
+        if may_retry and self._try_spend_retry(now_ms):
             dispatcher.extra_send_counts["retry"] += 1
             self._send("retry")
         elif self._has_open_sends():
             return
-        elif may_retry and now_ms < self._context.target_ms:
-            # Other requests fill the budget meanwhile. After the latency
-            # objective the retry is not tried again, because it would use
-            # tokens that requests still within their objective need.
+        elif may_retry and now_ms < self._retry_until_ms:
+            # Other requests fill the budget meanwhile.
             dispatcher.extra_send_counts["retry_denied"] += 1
             dispatcher.timers.after(RETRY_RECHECK_MS, self._retry)
         else:
             self._end_without_reply()
 
+    @property
+    def _retry_until_ms(self) -> float:
+        """Time until which a retry waits for the budget.
+
+        A client that a single service refuses repeats one request. A query that
+        lacks one part fails whole, and its client repeats all its parts.
+        """
+        target_ms = self._context.target_ms
+        if self._context.route.gather is None:
+            return target_ms
+        late_ms = self._context.deadline_ms - target_ms
+        return target_ms + LATE_RETRY_SHARE * late_ms
+
+    def _try_spend_retry(self, now_ms: float) -> bool:
+        budget = self._dispatcher.budget(self.service)
+        if now_ms < self._context.target_ms:
+            return budget.try_spend(now_ms)
+        return budget.try_spend_late(now_ms)
+
     def _has_open_sends(self) -> bool:
         return any(not send.is_done for send in self._sends)
 
--- a/auburnway/gateway/sub_request_test.py
+++ b/auburnway/gateway/sub_request_test.py
@@ -373,6 +373,89 @@
     assert len(harness.pool.sent) == 1
 
 
+def _lose_all_replies(harness):
+    """Loses the replies of all shards but the first two of four."""
+    harness.gather()
+    for call in tuple(harness.pool.sent):
+        if call.address[0] in "ab":
+            harness.answer(call)
+        else:
+            harness.lose_connection(call)
+
+
+def _four_shards(budget_tokens):
+    """Returns a harness whose queries need three of four shards."""
+    gather = route_table.Gather(tuple("abcd"), 3, 0.75)
+    harness = GatewayHarness(shards="abcd", gather=gather)
+    for shard, tokens in zip("cd", budget_tokens, strict=True):
+        budget = harness.dispatcher.budget(shard)
+        while budget.try_spend(harness.clock.now_ms()):
+            pass
+        for _ in range(round(tokens / 0.16)):
+            budget.on_sub_request()
+    return harness
+
+
+def test_query_without_budget_gets_a_late_retry_instead_of_an_error():
+    # Simulates a time in which many replies are lost, so that the budget is
+    # used up: a query that lacks one part failed at its objective, and its
+    # client sent all parts again.
+    harness = _four_shards(budget_tokens=(0, 0))
+    _lose_all_replies(harness)
+    harness.advance(120)
+    assert harness.answers == []
+    for _ in range(13):
+        harness.dispatcher.budget("c").on_sub_request()
+    harness.advance(10)
+    (retry,) = harness.sent_to("c")[1:]
+    harness.answer(retry)
+    (answer,) = harness.answers
+    assert (answer.status, answer.reason) == (200, "partial")
+    assert len(harness.sent_to("d")) == 1
+
+
+def test_late_retry_does_not_wait_until_the_deadline():
+    # Guards against a client that has no time left for another attempt.
+    harness = _four_shards(budget_tokens=(0, 0))
+    _lose_all_replies(harness)
+    harness.advance(540)
+    assert harness.answers == []
+    harness.advance(20)
+    assert harness.answers[0].status == 502
+
+
+def test_query_that_must_fail_waits_for_no_budget():
+    # Guards against retries for a query that cannot have enough parts any
+    # more, while other queries wait for the budget.
+    harness = _four_shards(budget_tokens=(1, 0))
+    harness.gather()
+    for call in tuple(harness.pool.sent):
+        if call.address[0] == "a":
+            harness.answer(call)
+        else:
+            harness.lose_connection(call)
+    for shard in "bc":
+        assert harness.answers == []
+        harness.lose_connection(harness.sent_to(shard)[1])
+    assert harness.answers[0].status == 502
+    assert len(harness.sent_to("d")) == 1
+
+
+def test_hedges_leave_budget_for_retries():
+    # Guards against hedges of slow sends that use up the budget while replies
+    # are lost: each missing retry leaves a shard out of the answer.
+    harness = GatewayHarness(shards=("a",), gather=None)
+    budget = harness.dispatcher.budget("a")
+    budget.set_burst(8.0, 0.0, 2.0)
+    while budget.try_spend_hedge(harness.clock.now_ms()):
+        pass
+    harness.single()
+    harness.advance(60)
+    assert len(harness.pool.sent) == 1
+    harness.lose_connection(harness.pool.sent[0])
+    assert len(harness.pool.sent) == 2
+
+
 def test_rejecting_servers_are_avoided_when_the_budget_is_spent():
     # Simulates a load in which two of three servers reject half of the
     # requests, while the budget allows retries of a fifth. A shard whose
--- a/auburnway/policy/retry_budget.py
+++ b/auburnway/policy/retry_budget.py
@@ -8,6 +8,8 @@
 
 # Tokens that hedges leave for retries.
 RETRY_RESERVE = 8.0
+# Tokens that retries after the latency objective leave for retries before it.
+LATE_RETRY_RESERVE = 1.0
 
 
 class Budget:
@@ -63,6 +65,19 @@
         self._tokens -= 1.0
         return True
 
+    def try_spend_late(self, now_ms: float) -> bool:
+        """Spends one token for a retry after the latency objective.
+
+        It leaves a token for a request that can still meet its objective.
+
+        Args:
+          now_ms: Current time.
+
+        Returns:
+          Whether the retry is allowed.
+        """
+        return self._try_spend_above(LATE_RETRY_RESERVE, now_ms)
+
     def try_spend_hedge(self, now_ms: float) -> bool:
         """Spends one token for a hedge, but leaves the reserve for retries.
 
@@ -76,8 +91,13 @@
         Returns:
           Whether the hedge is allowed.
         """
+        return self._try_spend_above(self._reserve, now_ms)
+
+    def _try_spend_above(self, reserve: float, now_ms: float) -> bool:
         self._refill(now_ms)
-        if self._tokens < self._reserve + 1.0 - 1e-9:
+        # A small bucket can never hold the whole reserve and a token more.
+        reserve = min(reserve, self._max_tokens - 1.0)
+        if self._tokens < reserve + 1.0 - 1e-9:
             return False
         return self.try_spend(now_ms)
 
@@ -93,9 +113,18 @@
         self._refill(now_ms)
         return self._tokens / self._max_tokens
 
-    def set_burst(self, burst: float, refill_per_s: float) -> None:
-        """Sets the maximum number of tokens and the refill per second."""
+    def set_burst(
+        self, burst: float, refill_per_s: float, reserve: float = 0.0
+    ) -> None:
+        """Sets the maximum number of tokens, the refill and the reserve.
+
+        Args:
+          burst: Maximum number of tokens.
+          refill_per_s: Tokens that are added per second at any load.
+          reserve: Tokens that hedges leave for retries.
+        """
         self._max_tokens = burst
+        self._reserve = reserve
         self._refill_per_s = refill_per_s
         self._tokens = min(self._tokens, burst)
 
--- a/auburnway/policy/retry_budget_test.py
+++ b/auburnway/policy/retry_budget_test.py
@@ -83,3 +83,22 @@
     for end in range(steps, len(spent)):
         allowed = share * sum(requests[end - steps : end]) + slack
         assert sum(spent[end - steps : end]) <= allowed
+
+
+def test_late_retry_leaves_a_token_for_a_request_in_time():
+    # Guards against late requests that use up the budget of requests that can
+    # still meet their objective.
+    budget = retry_budget.Budget(burst=4.0, tokens=3.0)
+    assert budget.try_spend_late(0.0)
+    assert budget.try_spend_late(0.0)
+    assert not budget.try_spend_late(0.0)
+    assert budget.try_spend(0.0)
+
+
+def test_small_bucket_allows_hedges_and_late_retries():
+    # Guards against a reserve that the bucket of an entry among many can never
+    # exceed.
+    for spend in ("try_spend_hedge", "try_spend_late"):
+        budget = retry_budget.Budget(burst=1.0, tokens=1.0)
+        budget.set_burst(1.0, 0.0, 0.25)
+        assert getattr(budget, spend)(0.0)
