Keep the body of a reply in blocks

A body was one buffer that grew; each growth copies it, and the heap keeps gaps. Change: bodies are kept in blocks of 64 KiB, which small pieces share.

--- a/auburnway/net/reply_reader.py
+++ b/auburnway/net/reply_reader.py
@@ -12,6 +12,9 @@
 # Bytes that a body may take on the wire, as a multiple of its own maximum:
 # chunked coding adds a few bytes to each chunk.
 WIRE_FACTOR = 2
+# Size of the blocks in which a body is kept. One buffer that grows would be
+# copied again and again, and the heap would keep the gaps.
+BLOCK_BYTES = 1 << 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +53,32 @@
     keep_alive: bool
 
 
+class _Body:
+    """Received bytes of a body, in blocks of equal size.
+
+    Small pieces share a block, as an object for each would take several times
+    the memory of its bytes.
+    """
+
+    def __init__(self):
+        self._blocks: list[bytes] = []
+        self._open_block = bytearray()
+
+    def __len__(self) -> int:
+        return len(self._blocks) * BLOCK_BYTES + len(self._open_block)
+
+    def add(self, piece: bytes) -> None:
+        """Adds the next piece."""
+        self._open_block += piece
+        while len(self._open_block) >= BLOCK_BYTES:
+            self._blocks.append(bytes(self._open_block[:BLOCK_BYTES]))
+            del self._open_block[:BLOCK_BYTES]
+
+    def join(self) -> bytes:
+        """Returns the whole body."""
+        return b"".join((*self._blocks, self._open_block))
+
+
 class ReplyReader:
     """Parser of the replies on one connection, used for one request.
 
@@ -77,7 +106,7 @@
         self.is_in_message = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._field_bytes = 0
-        self._body = bytearray()
+        self._body = _Body()
         self._has_headers = False
 
     def feed(self, data: bytes, has_no_body: bool = False) -> None:
@@ -123,7 +152,7 @@
         return ParsedReply(
             self._parser.get_status_code(),
             tuple(self._headers),
-            bytes(self._body),
+            self._body.join(),
             keep_alive,
         )
 
@@ -154,7 +183,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a piece of the body."""
-        self._body += body
+        self._body.add(body)
         if len(self._body) > self._limits.body_bytes:
             self.excess = "body_bytes"
 
--- a/auburnway/net/reply_reader_test.py
+++ b/auburnway/net/reply_reader_test.py
@@ -105,3 +105,17 @@
     reader = read(HEAD + b"Content-Length: 0\r\n\r\nHTTP/1.1 2")
     assert len(reader.replies) == 1
     assert reader.is_in_message
+
+
+def test_body_is_kept_in_blocks_and_returned_whole():
+    # Guards against a body that loses or repeats bytes at the end of a block,
+    # and against one object for each small piece of it.
+    size = 3 * reply_reader.BLOCK_BYTES + 7
+    limits = reply_reader.ReplyLimits(body_bytes=size)
+    body = bytes(i % 251 for i in range(size))
+    reader = reply_reader.ReplyReader(limits)
+    reader.feed(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+    for start in range(0, size, 1_000):
+        reader.feed(body[start : start + 1_000])
+    (reply,) = reader.replies
+    assert reply.body == body
