Encode the table of backend servers once for all entries

Each control instance hashed and encoded 495 rows for each entry that subscribed, and each entry logged a line for each row: 94,656 lines in 0.7 s. Change: the digest and the frame are computed once a change of content; more than ten rows that change together are one log line.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -93,6 +93,8 @@
         # server reads it.
         self._silent: set[str] = set()
         self._ready_by_service: dict[str, tuple[Row, ...]] | None = None
+        # None after a change of the content.
+        self._digest: str | None = None
 
     def __len__(self) -> int:
         """Number of rows, tombstones included."""
@@ -103,12 +105,19 @@
         return tuple(self._rows.values())
 
     def digest(self) -> str:
-        """Returns a text that is equal for tables with equal content."""
-        rows = sorted(
-            (row.server_id, *_relayed_fields(row)[:-1], row.state.value)
-            for row in self._rows.values()
-        )
-        return hashlib.blake2b(repr(rows).encode(), digest_size=8).hexdigest()
+        """Returns a text that is equal for tables with equal content.
+
+        It is computed once a change, as many entries subscribe at once after a
+        restart.
+        """
+        if self._digest is None:
+            rows = sorted(
+                (row.server_id, *_relayed_fields(row)[:-1], row.state.value)
+                for row in self._rows.values()
+            )
+            text = repr(rows).encode()
+            self._digest = hashlib.blake2b(text, digest_size=8).hexdigest()
+        return self._digest
 
     def get(self, server_id: str) -> Row | None:
         """Returns the row of a server, or None."""
@@ -142,6 +151,7 @@
             self._ended_ms.pop(row.server_id, None)
         if changed:
             self._ready_by_service = None
+            self._digest = None
         return changed
 
     def end(self, server_id: str, now_ms: float) -> Row | None:
@@ -199,6 +209,7 @@
             if now_ms - ended_ms > TOMBSTONE_MS:
                 del self._ended_ms[server_id]
                 self._rows.pop(server_id, None)
+                self._digest = None
                 self._heartbeat_status.pop(server_id, None)
                 self._silent.discard(server_id)
 
--- a/auburnway/core/server_table_test.py
+++ b/auburnway/core/server_table_test.py
@@ -121,3 +121,18 @@
 @given(rows)
 def test_wire_form(row):
     assert server_table.decode_row(server_table.encode_row(row)) == row
+
+
+def test_digest_follows_each_change():
+    # Guards against an entry that believes its table equals the sender's.
+    table, other = table_of(make_row()), table_of(make_row(sequence=7))
+    assert table.digest() == other.digest()
+    table.put(make_row(sequence=8, state=DRAINING), 0.0)
+    assert table.digest() != other.digest()
+    other.put(make_row(sequence=9, state=DRAINING), 0.0)
+    assert table.digest() == other.digest()
+    ended = table.digest()
+    table.end(ROW.server_id, 0.0)
+    assert table.digest() != ended
+    table.purge(server_table.TOMBSTONE_MS + 1.0)
+    assert table.digest() == server_table.Table().digest()
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -29,6 +29,9 @@
 FETCH_TIMEOUT_MS = 400.0
 # Period in which outdated rows are removed from the table of backend servers.
 PURGE_MS = 10_000.0
+# Servers that change together beyond this number, as in a whole table, are
+# logged in one line: single lines would delay the first requests.
+MAX_LOGGED_ROWS = 10
 
 
 class Feed:
@@ -215,14 +218,19 @@
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows of backend servers."""
         now_ms = self._clock.now_ms()
-        for fields in rows.rows:
-            row = server_table.decode_row(fields)
-            if self.table.put(row, now_ms):
-                loguru.logger.bind(
-                    server=row.server_id,
-                    service=row.service,
-                    state=row.state.value,
-                ).info("backend server changed")
+        decoded = map(server_table.decode_row, rows.rows)
+        changed = [row for row in decoded if self.table.put(row, now_ms)]
+        if len(changed) > MAX_LOGGED_ROWS:
+            loguru.logger.bind(count=len(changed)).info(
+                "backend servers changed"
+            )
+            return
+        for row in changed:
+            loguru.logger.bind(
+                server=row.server_id,
+                service=row.service,
+                state=row.state.value,
+            ).info("backend server changed")
 
     def on_heartbeat_state(self, heard: messages.Heard, address: str) -> None:
         """Records whether a control instance gets heartbeats of servers."""
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -33,6 +33,7 @@
 from auburnway.registrar import settings as settings_lib
 from auburnway.registrar import subscribers
 from auburnway.registrar import table_file
+from auburnway.registrar import table_frame
 from auburnway.storage import disk as disk_lib
 
 # A server counts as silent after this many periods without a heartbeat.
@@ -102,6 +103,7 @@
         self._saved_state = revision_file.load(disk)
         self._sent_revision = self._saved_state.revision
         self._subscribers = subscribers.Subscribers()
+        self._table_frame = table_frame.TableFrame()
         self.consensus = consensus.Node(
             identity,
             self.address,
@@ -285,9 +287,8 @@
         self._send_table(stream)
 
     def _send_table(self, stream: stream_lib.Stream) -> None:
-        rows = tuple(map(server_table.encode_row, self.table.rows()))
-        if rows:
-            stream.send(messages.encode(messages.Rows(rows)))
+        if len(self.table):
+            stream.send_packed(self._table_frame.get(self.table))
 
     def _on_message(self, stream: stream_lib.Stream, value) -> None:
         try:
