Let only the caller end bytes without end in the soak

When the fault ended, that server closed its connection, which completes a body without length, so the entry was right to pass it on. Change: the server sends until its caller closes. Runs of the harness's request are told apart by its id instead of by time, so that any other unknown id is still reported, at any time.

--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -17,6 +17,7 @@
 import threading
 import time
 
+DEFAULT_REQUEST_ID = "r1"
 RECORDS = [bytes([65 + i]) * 16 for i in range(26)]
 
 
@@ -53,7 +54,8 @@
 
     Attributes:
       head: Bytes sent first, with `%s` for the id of the request.
-      piece: Bytes that are then sent without end; empty to close at once.
+      piece: Bytes that are then sent until the caller closes; empty to close
+        at once.
       gap_s: Pause between the pieces in seconds.
     """
 
@@ -147,7 +149,9 @@
         faulty_reply = self.faulty_reply
         try:
             connection.sendall(faulty_reply.head % request_id.encode())
-            while faulty_reply.piece and self.faulty_reply is faulty_reply:
+            # The end of a connection would complete a body without length, so
+            # only the caller may close it.
+            while faulty_reply.piece:
                 connection.sendall(faulty_reply.piece)
                 time.sleep(faulty_reply.gap_s)
         except OSError:
@@ -359,7 +363,7 @@
     def request(self, path, entry=0, method="GET", body=None, **headers):
         request_headers = {
             "Host": "h.example",
-            "Request-Id": "r1",
+            "Request-Id": DEFAULT_REQUEST_ID,
             "Deadline-Ms": "1500",
         }
         request_headers |= {k.replace("_", "-"): v for k, v in headers.items()}
--- a/auburnway/soak/main.py
+++ b/auburnway/soak/main.py
@@ -14,6 +14,7 @@
 import threading
 import time
 
+from auburnway.platform import testing
 from auburnway.soak import callers as callers_lib
 from auburnway.soak import checks
 from auburnway.soak import environment as environment_lib
@@ -65,7 +66,6 @@
     environment = environment_lib.Environment(folder, net, seed)
     try:
         environment.start()
-        callers_started_s = time.monotonic()
         callers = [
             callers_lib.Caller(environment.platform, f"s{seed}c{i}", seed)
             for i in range(CALLER_COUNT)
@@ -75,11 +75,12 @@
         calls = [call for caller in callers for call in caller.calls]
         served = [call for call in calls if call.status == 200]
         observations = environment.observations(calls)
-        # `calls` does not contain the requests that `environment.start` sends.
+        # `calls` does not contain the requests that `environment.start` sends,
+        # whose hedges may run after their answers.
         runs = tuple(
             server_run
             for server_run in observations.runs
-            if server_run.at_s >= callers_started_s
+            if server_run.request_id != testing.DEFAULT_REQUEST_ID
         )
         observations = dataclasses.replace(observations, runs=runs)
         violations = (
