Ask clients back from a stopping entry when they know other entries

A stopping entry refuses what may outlast it and asked the client back after 1 ms, when the client's list of entries still names it. Change: Retry-After is the time for which clients cache the list.

--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -241,7 +241,11 @@
         if self._stop is not None and not self._stop.accepts(
             context.deadline_ms
         ):
-            refused = client_request_lib.refusal(503, "stopping", 1.0)
+            # A client that comes back later has a list of entries without
+            # this one.
+            refused = client_request_lib.refusal(
+                503, "stopping", self._settings.address_ttl_ms
+            )
             self._answer(request, context, refused)
             return
         client_request: client_request_lib.ClientRequest | None = None
--- a/auburnway/platform/trouble_test.py
+++ b/auburnway/platform/trouble_test.py
@@ -18,6 +18,7 @@
 MAX_GROWTH_KB = 40 * 1024
 # The entries' grace time is 3 s, of which 0.9 are used.
 STOP_S = 2.7
+ADDRESS_TTL_S = 1.0
 
 pytestmark = pytest.mark.processes
 
@@ -183,7 +184,8 @@
         for name, future in futures.items():
             status, headers, _ = future.result()
             assert status == 503
-            assert float(headers["Retry-After"]) > 0
+            # The client's list of entries still names this one before.
+            assert float(headers["Retry-After"]) >= ADDRESS_TTL_S
             assert name not in {request_id for r in runs for request_id, _ in r}
     for backend in platform.backends:
         backend.delay_s = 0.0
