--- a/auburnway/net/reply_reader_test.py
+++ b/auburnway/net/reply_reader_test.py
@@ -80,14 +80,14 @@
     b"HTTP/1.1 20",
     HEAD,
     HEAD + b"Response-St",
-    HEAD + b"Response-Stamp: a",
-    HEAD + b"Response-Stamp: a\r\n",
-    HEAD + b"Response-Stamp: a\r\n\r",
+    HEAD + b"X-Signature: a",
+    HEAD + b"X-Signature: a\r\n",
+    HEAD + b"X-Signature: a\r\n\r",
     HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
     HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nab",
     HEAD + b"Content-Length: 3\r\n\r\nab",
     b"HTTP/1.1 100 Continue\r\n\r\n",
-    b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"Response-Stamp: a\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"X-Signature: a\r\n",
     b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + HEAD,
 )
 
