--- a/auburnway/gateway/client_request.py
+++ b/auburnway/gateway/client_request.py
@@ -140,6 +140,10 @@
         self._timer.cancel()
         self._sub_request.cancel()
 
+    def missing(self) -> tuple[str, ...]:
+        """Returns the service with the state of its sub-request."""
+        return (f"{self._sub_request.service}: {self._sub_request.state}",)
+
     def end(self, reason: str) -> None:
         """Answers the request now, without the reply of a server.
 
@@ -322,7 +326,7 @@
     def _on_deadline(self) -> None:
         self._finish("timed_out")
 
-    def _missing(self) -> tuple[str, ...]:
+    def missing(self) -> tuple[str, ...]:
         """Returns the missing shards with the states of their sub-requests."""
         states = dict.fromkeys(self._gather.shards, "not asked")
         for sub_request in self._sub_requests:
@@ -337,7 +341,7 @@
         may_have_run = any(
             sub_request.may_have_run for sub_request in self._sub_requests
         )
-        missing = self._missing()
+        missing = self.missing()
         self.cancel()
         if not self._has_enough_parts:
             if may_have_run:
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -256,6 +256,13 @@
 
         def on_gone():
             self._open_requests.discard(client_request)
+            loguru.logger.bind(
+                request=context.request_id.decode("latin-1"),
+                route=route.name,
+                missing=client_request.missing(),
+                took_ms=round(self._clock.now_ms() - context.started_ms, 1),
+                revision=self.feed.revision,
+            ).info("client left before its answer")
             client_request.cancel()
 
         if route.gather is not None:
--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -202,6 +202,32 @@
     assert (found["status"], found["reason"]) == (404, "no_route")
 
 
+def test_client_that_leaves_is_logged(platform):
+    # Guards against a request without a trace: most clients that are not served
+    # close their connection at their own deadline.
+    backend = find_backend(platform, "solo-1")
+    backend.delay_s = 1.0
+    headers = {"Request-Id": "left-1", "Deadline-Ms": "1500"}
+    with pytest.raises(TimeoutError):
+        testing.call(
+            f"{platform.entries[0].ip}:{platform.CLIENT_PORT}",
+            "GET",
+            "/one/x",
+            headers={"Host": "h.example", **headers},
+            timeout_s=0.2,
+        )
+
+    def logged_lines():
+        text = platform.entries[0].log_path.read_text()
+        lines = [json.loads(line) for line in text.splitlines()]
+        return [line for line in lines if line.get("request") == "left-1"]
+
+    (found,) = testing.wait_until(logged_lines)
+    backend.delay_s = 0.0
+    assert found["message"] == "client left before its answer"
+    assert found["missing"][0].startswith("solo: solo-1 for ")
+
+
 def test_reload_does_not_end_a_process(platform):
     # Guards against the default action of SIGHUP, which ends a process.
     entry = platform.entries[0]
