Take news of backend servers from one control instance and watch another

Change: an entry takes news from one source, in its own data centre if it can, and watches a second one by the digest of its table; it asks for the table if the digests differ for half a second. The list of entries holds those that clients are to use, and what can wait goes out each 250 ms. Control instances are sent when they change, and a configuration is fetched from an instance of the own data centre if that has it within 150 ms.

Bound: while the source stands still, news reach the entry 0.75 s late by the digest, or 2.4 s late when the source's silence is noticed. The digest is kept up to date row by row; a tombstone no longer counts.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -81,7 +81,11 @@
 
 
 class Table:
-    """Rows by server id, with an index of ready servers by service."""
+    """Rows by server id, with an index of ready servers by service.
+
+    Attributes:
+      change_count: Number of changes of the content, tombstones included.
+    """
 
     def __init__(self):
         self._rows: dict[str, Row] = {}
@@ -93,8 +97,9 @@
         # server reads it.
         self._silent: set[str] = set()
         self._ready_by_service: dict[str, tuple[Row, ...]] | None = None
-        # None after a change of the content.
-        self._digest: str | None = None
+        # Exclusive or of the hashes of all rows that are not tombstones.
+        self._hash = 0
+        self.change_count = 0
 
     def __len__(self) -> int:
         """Number of rows, tombstones included."""
@@ -105,19 +110,11 @@
         return tuple(self._rows.values())
 
     def digest(self) -> str:
-        """Returns a text that is equal for tables with equal content.
+        """Returns a text that is equal for tables with the same servers.
 
-        It is computed once a change, as many entries subscribe at once after a
-        restart.
+        Tombstones do not count, as each process removes them at another time.
         """
-        if self._digest is None:
-            rows = sorted(
-                (row.server_id, *_relayed_fields(row)[:-1], row.state.value)
-                for row in self._rows.values()
-            )
-            text = repr(rows).encode()
-            self._digest = hashlib.blake2b(text, digest_size=8).hexdigest()
-        return self._digest
+        return f"{self._hash:016x}"
 
     def get(self, server_id: str) -> Row | None:
         """Returns the row of a server, or None."""
@@ -151,7 +148,8 @@
             self._ended_ms.pop(row.server_id, None)
         if changed:
             self._ready_by_service = None
-            self._digest = None
+            self.change_count += 1
+            self._hash ^= _row_hash(current) ^ _row_hash(row)
         return changed
 
     def end(self, server_id: str, now_ms: float) -> Row | None:
@@ -209,7 +207,7 @@
             if now_ms - ended_ms > TOMBSTONE_MS:
                 del self._ended_ms[server_id]
                 self._rows.pop(server_id, None)
-                self._digest = None
+                self.change_count += 1
                 self._heartbeat_status.pop(server_id, None)
                 self._silent.discard(server_id)
 
@@ -238,3 +236,11 @@
         row.slots,
         row.state,
     )
+
+
+def _row_hash(row: Row | None) -> int:
+    if row is None or row.state is State.ENDED:
+        return 0
+    fields = (row.server_id, *_relayed_fields(row)[:-1], row.state.value)
+    digest = hashlib.blake2b(repr(fields).encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- a/auburnway/core/server_table_test.py
+++ b/auburnway/core/server_table_test.py
@@ -134,5 +134,15 @@
     ended = table.digest()
     table.end(ROW.server_id, 0.0)
     assert table.digest() != ended
+    # Processes remove tombstones at different times.
+    assert table.digest() == server_table.Table().digest()
     table.purge(server_table.TOMBSTONE_MS + 1.0)
     assert table.digest() == server_table.Table().digest()
+
+
+@given(st.lists(rows, max_size=8))
+def test_digest_depends_on_the_servers_only(merged):
+    # Guards against a digest that keeps a trace of replaced rows.
+    table = table_of(*merged)
+    fresh = table_of(*table.rows())
+    assert table.digest() == fresh.digest()
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -22,11 +22,14 @@
 from auburnway.net import stream as stream_lib
 from auburnway.policy import entry_selection
 from auburnway.policy import news_sources
+from auburnway.policy import revision_source
 from auburnway.registrar import messages
 from auburnway.registrar import revision_machine
 
 # Time after which a configuration is requested from another control instance.
 FETCH_TIMEOUT_MS = 400.0
+# Period in which the table is compared with that of another control instance.
+COMPARE_MS = 250.0
 # Period in which outdated rows are removed from the table of backend servers.
 PURGE_MS = 10_000.0
 # Servers that change together beyond this number, as in a whole table, are
@@ -73,7 +76,10 @@
         self._dialers: dict[str, stream_lib.Dialer] = {}
         # Data centres of the control instances that are connected.
         self._locations: dict[str, str | None] = {}
-        self._sources: frozenset[str] = frozenset()
+        self._sources = news_sources.Sources()
+        self._digest_watch = news_sources.DigestWatch()
+        # Control instances that each connected one names, by its address.
+        self._named_controls: dict[str, frozenset[str]] = {}
         self.entries = entry_list.EntryList(loop.clock)
         self._target_revision = -1
         self._requested_from: set[str] = set()
@@ -86,6 +92,7 @@
         loop.timers.every(
             PURGE_MS, lambda: self.table.purge(self._clock.now_ms())
         )
+        loop.timers.every(COMPARE_MS, self._compare_tables)
 
     @property
     def revision(self) -> int:
@@ -150,25 +157,50 @@
             messages.encode(messages.Hello("entry", self._settings.name))
         )
         self._locations[address] = None
-        self._subscribe(stream, False)
+        self._subscribe(address, False)
         self._send_state(stream)
 
-    def _subscribe(self, stream: stream_lib.Stream, is_wanted: bool) -> None:
+    def _subscribe(self, address: str | None, is_wanted: bool) -> None:
         digest = self.table.digest() if is_wanted else ""
-        stream.send(messages.encode(messages.Subscribe(is_wanted, digest)))
+        self._send(address, messages.Subscribe(is_wanted, digest))
+
+    def _send(self, address: str | None, message: messages.Message) -> None:
+        """Sends a message to a control instance if it is connected."""
+        dialer = self._dialers.get(address)
+        if dialer is not None:
+            dialer.send(messages.encode(message))
 
     def _choose_sources(self) -> None:
-        chosen = news_sources.choose(
+        old = self._sources
+        self._sources = news_sources.choose(
             self._locations,
-            self._sources,
+            old,
             self._settings.name,
             self._settings.data_center,
         )
-        changed, self._sources = chosen ^ self._sources, chosen
-        for address in changed & self._dialers.keys():
-            stream = self._dialers[address].stream
-            if stream is not None:
-                self._subscribe(stream, address in chosen)
+        if self._sources.news != old.news:
+            self._subscribe(old.news, False)
+            self._subscribe(self._sources.news, True)
+        if self._sources.watched != old.watched:
+            self._digest_watch.reset()
+            self._send(old.watched, messages.Watch(False))
+            self._send(self._sources.watched, messages.Watch(True))
+
+    def _compare_tables(self) -> None:
+        """Asks for the whole table if the source failed to send news."""
+        if self._digest_watch.should_ask(
+            self.table.digest(), self._clock.now_ms()
+        ):
+            loguru.logger.bind(control=self._sources.watched).info(
+                "asking for news that did not arrive"
+            )
+            self._subscribe(self._sources.watched, True)
+            self._subscribe(self._sources.watched, False)
+
+    def on_table_digest(self, digest: messages.TableDigest, address: str):
+        """Records the digest of the watched control instance."""
+        if address == self._sources.watched:
+            self._digest_watch.on_digest(digest.digest)
 
     def on_location(self, location: messages.Location, address: str) -> None:
         """Records the data centre of a control instance."""
@@ -179,12 +211,12 @@
         """Sends the rows that this entry knows to a control instance."""
         rows = tuple(map(server_table.encode_row, self.table.rows()))
         if rows:
-            self._dialers[address].send(messages.encode(messages.Rows(rows)))
+            self._send(address, messages.Rows(rows))
 
     def _on_lost(self, address: str, stream: stream_lib.Stream) -> None:
         del stream
         self._locations.pop(address, None)
-        self._sources -= {address}
+        self._named_controls.pop(address, None)
         self._choose_sources()
         loguru.logger.bind(control=address).warning("lost a control instance")
         self.table.remove_control_instance(address)
@@ -211,9 +243,14 @@
             return
         _dispatch(message, address, self)
 
-    def on_controls(self, controls: messages.Controls) -> None:
-        """Opens and closes streams to match the set of control instances."""
-        self._set_controls(set(controls.addresses) | self._seeds)
+    def on_controls(self, controls: messages.Controls, address: str) -> None:
+        """Opens and closes streams to match the set of control instances.
+
+        Instances that lag behind name other ones; streams to all are kept.
+        """
+        self._named_controls[address] = frozenset(controls.addresses)
+        named = frozenset().union(*self._named_controls.values())
+        self._set_controls(named | self._seeds)
 
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows of backend servers."""
@@ -260,16 +297,31 @@
         if revision.number > self._target_revision:
             self._target_revision = revision.number
             self._requested_from = set()
+        if self._requested_from:
+            return
+        wait_ms = revision_source.wait_ms(
+            address,
+            self._locations,
+            self._settings.data_center,
+            self.configuration is None,
+        )
+        if wait_ms:
+            number = revision.number
+            self._loop.timers.after(
+                wait_ms, lambda: self._fetch_unrequested(number, address)
+            )
+        else:
+            self._fetch(address)
+
+    def _fetch_unrequested(self, number: int, address: str) -> None:
+        if number == self._target_revision and not self._requested_from:
             self._fetch(address)
 
     def _fetch(self, address: str) -> None:
         if self.revision >= self._target_revision:
             return
         self._requested_from.add(address)
-        dialer = self._dialers.get(address)
-        if dialer is not None:
-            fetch = messages.Fetch(self._target_revision)
-            dialer.send(messages.encode(fetch))
+        self._send(address, messages.Fetch(self._target_revision))
         number = self._target_revision
         self._loop.timers.after(
             FETCH_TIMEOUT_MS, lambda: self._retry_fetch(number)
@@ -325,7 +377,7 @@
 
 @_dispatch.register
 def _(message: messages.Controls, address, feed) -> None:
-    feed.on_controls(message)
+    feed.on_controls(message, address)
 
 
 @_dispatch.register
@@ -338,6 +390,11 @@
     feed.on_location(message, address)
 
 
+@_dispatch.register
+def _(message: messages.TableDigest, address, feed) -> None:
+    feed.on_table_digest(message, address)
+
+
 @_dispatch.register
 def _(message: messages.AskRows, address, feed) -> None:
     del message
--- a/auburnway/registrar/message_handlers.py
+++ b/auburnway/registrar/message_handlers.py
@@ -31,6 +31,11 @@
     node.on_subscribe(message, stream)
 
 
+@handle.register
+def _(message: messages.Watch, stream, node) -> None:
+    node.on_watch(message, stream)
+
+
 @handle.register
 def _(message: messages.Fetch, stream, node) -> None:
     node.on_fetch(stream)
--- a/auburnway/registrar/messages.py
+++ b/auburnway/registrar/messages.py
@@ -68,6 +68,28 @@
     digest: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Watch:
+    """Whether the sending entry wants digests of the receiver's table.
+
+    Attributes:
+      is_wanted: Whether the receiver is to send the digest when it changes.
+    """
+
+    is_wanted: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class TableDigest:
+    """Digest of the sender's table of backend servers.
+
+    Attributes:
+      digest: As returned by `server_table.Table.digest`.
+    """
+
+    digest: str
+
+
 @dataclasses.dataclass(frozen=True)
 class AskRows:
     """Asks an entry for its rows of backend servers."""
@@ -105,7 +127,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entries:
-    """All ready entries that are connected to the sending control instance.
+    """Entries that clients are to use, of those connected to the sender.
+
+    An instance of an earlier version sends all that are ready, so receivers
+    select again.
 
     Attributes:
       entries: Pairs of address and data centre.
@@ -192,6 +217,8 @@
     | Rows
     | Location
     | Subscribe
+    | Watch
+    | TableDigest
     | AskRows
     | Heard
     | EntryState
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -24,16 +24,14 @@
 from auburnway.net import stream as stream_lib
 from auburnway.registrar import copy_writer
 from auburnway.registrar import data_folder
-from auburnway.registrar import entry_states
+from auburnway.registrar import entry_news
 from auburnway.registrar import message_handlers
 from auburnway.registrar import messages
 from auburnway.registrar import replies
 from auburnway.registrar import revision_file
 from auburnway.registrar import revision_machine
 from auburnway.registrar import settings as settings_lib
-from auburnway.registrar import subscribers
 from auburnway.registrar import table_file
-from auburnway.registrar import table_frame
 from auburnway.storage import disk as disk_lib
 
 # A server counts as silent after this many periods without a heartbeat.
@@ -99,11 +97,9 @@
         self._started_ms = self._clock.now_ms()
         self._dialers: dict[str, stream_lib.Dialer] = {}
         self._last_heartbeat_ms: dict[str, float] = {}
-        self._entries = entry_states.EntryStates()
+        self._entries = entry_news.EntryNews(self.table, settings.data_center)
         self._saved_state = revision_file.load(disk)
         self._sent_revision = self._saved_state.revision
-        self._subscribers = subscribers.Subscribers()
-        self._table_frame = table_frame.TableFrame()
         self.consensus = consensus.Node(
             identity,
             self.address,
@@ -231,7 +227,7 @@
             ).info("backend server changed")
             self._push_rows((row.server_id,))
         if row.server_id not in self._last_heartbeat_ms:
-            self._push_heard((row.server_id,), True)
+            self._entries.add_heard(row.server_id)
         self._last_heartbeat_ms[row.server_id] = now_ms
         return None
 
@@ -270,9 +266,9 @@
     def _on_instance_lost(self, stream: stream_lib.Stream) -> None:
         """Tells all entries what the subscribers of a lost one may lack."""
         del stream
-        recent_ids = self._subscribers.recent(self._clock.now_ms())
+        recent_ids = self._entries.recent(self._clock.now_ms())
         if recent_ids:
-            self._push_to_entries(self._pack_rows(recent_ids))
+            self._entries.push_frame(self._pack_rows(recent_ids))
 
     def _reaches_all_instances(self) -> bool:
         return all(
@@ -284,11 +280,7 @@
     def _on_open(self, stream: stream_lib.Stream) -> None:
         hello = messages.Hello("control", self.address)
         stream.send(messages.encode(hello))
-        self._send_table(stream)
-
-    def _send_table(self, stream: stream_lib.Stream) -> None:
-        if len(self.table):
-            stream.send_packed(self._table_frame.get(self.table))
+        self._entries.send_table(stream)
 
     def _on_message(self, stream: stream_lib.Stream, value) -> None:
         try:
@@ -301,7 +293,6 @@
         message_handlers.handle(message, stream, self)
 
     def _on_lost(self, stream: stream_lib.Stream) -> None:
-        self._subscribers.drop(stream)
         if self._entries.drop(stream):
             loguru.logger.bind(entry=str(stream.context)).warning(
                 "lost the stream of an entry"
@@ -314,43 +305,34 @@
         """Handles the first message of a connected process."""
         stream.context = hello.name
         if hello.kind == "control":
-            self._send_table(stream)
+            self._entries.send_table(stream)
 
     def on_entry_state(
         self, state: messages.EntryState, stream: stream_lib.Stream
     ) -> None:
         """Records the state of an entry; sends all state to a new entry."""
-        is_new = stream not in self._entries
-        if self._entries.put(stream, state):
+        is_new, is_urgent = self._entries.put_state(stream, state)
+        if is_urgent:
             self._push_entries()
         if is_new:
-            self._send_full_state(stream)
-
-    def _send_full_state(self, stream: stream_lib.Stream) -> None:
-        """Sends the whole state to a new entry, which then gets updates."""
-        if self._subscribers.wants(stream):
-            self._send_table(stream)
-        initial_messages = [
-            messages.Location(self._settings.data_center),
-            messages.AskRows() if self._subscribers.should_ask_rows() else None,
-            self._controls(),
-            messages.Heard(tuple(self._last_heartbeat_ms), True),
-            self._entries.last_list(),
-        ]
-        revision = self._newest_state().revision
-        if revision >= 0:
-            initial_messages.append(messages.Revision(revision))
-        for message in initial_messages:
-            if message is not None:
-                stream.send(messages.encode(message))
+            self._entries.send_state(
+                stream,
+                self._controls(),
+                self._last_heartbeat_ms,
+                self._newest_state().revision,
+            )
 
     def on_subscribe(
         self, subscribe: messages.Subscribe, stream: stream_lib.Stream
     ) -> None:
         """Starts or ends the news of backend servers to an entry."""
-        self._subscribers.put(stream, subscribe.is_wanted)
-        if subscribe.is_wanted and subscribe.digest != self.table.digest():
-            self._send_table(stream)
+        self._entries.on_subscribe(subscribe, stream)
+
+    def on_watch(
+        self, watch: messages.Watch, stream: stream_lib.Stream
+    ) -> None:
+        """Starts or ends the digests of the table to an entry."""
+        self._entries.on_watch(watch, stream)
 
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows and forwards the changed rows to the entries."""
@@ -394,12 +376,9 @@
     ) -> None:
         frame = self._pack_rows(server_ids)
         reaches_all = not to_controls or self._reaches_all_instances()
-        for stream in self._subscribers.recipients(
-            self._entries.streams(), reaches_all
-        ):
-            stream.send_packed(frame)
+        self._entries.push_rows(frame, reaches_all)
         if to_controls:
-            self._subscribers.on_change(server_ids, self._clock.now_ms())
+            self._entries.on_change(server_ids, self._clock.now_ms())
             for dialer in self._dialers.values():
                 if dialer.stream is not None:
                     dialer.stream.send_packed(frame)
@@ -412,20 +391,9 @@
         )
         return stream_lib.pack(messages.encode(messages.Rows(rows)))
 
-    def _push_heard(self, server_ids: tuple[str, ...], heard: bool) -> None:
-        message = messages.Heard(server_ids, heard)
-        self._push_to_entries(stream_lib.pack(messages.encode(message)))
-
     def _push_entries(self) -> None:
-        if self._clock.now_ms() - self._started_ms < FIRST_LIST_MS:
-            return
-        message = self._entries.pending_update()
-        if message is not None:
-            self._push_to_entries(stream_lib.pack(messages.encode(message)))
-
-    def _push_to_entries(self, frame: bytes) -> None:
-        for stream in self._entries.streams():
-            stream.send_packed(frame)
+        if self._clock.now_ms() - self._started_ms >= FIRST_LIST_MS:
+            self._entries.push_entries()
 
     # Periodic work.
 
@@ -443,9 +411,10 @@
             loguru.logger.bind(servers=silent).info(
                 "backend servers missed their heartbeats"
             )
-            self._push_heard(silent, False)
+            self._entries.push(messages.Heard(silent, False))
         self.table.purge(now_ms)
         self._push_entries()
+        self._entries.flush()
         self._sync_dialers()
 
     def _save(self) -> None:
@@ -489,11 +458,8 @@
         if revision > self._sent_revision:
             self._sent_revision = revision
             self._revision_saver.save(self.consensus.state)
-            message = messages.Revision(revision)
-            self._push_to_entries(stream_lib.pack(messages.encode(message)))
+            self._entries.push(messages.Revision(revision))
             loguru.logger.bind(revision=revision).info(
                 "configuration is committed"
             )
-        controls = self._controls()
-        if controls is not None:
-            self._push_to_entries(stream_lib.pack(messages.encode(controls)))
+        self._entries.push_controls(self._controls())
--- a/auburnway/registrar/subscribers.py
+++ b/auburnway/registrar/subscribers.py
@@ -1,6 +1,6 @@
 """Which entries a control instance sends news of backend servers to.
 
-An entry subscribes to a few control instances; the others hear of each change
+An entry subscribes to one control instance; the others hear of each change
 from the instance that heard of it first, and tell their own subscribers. While
 that instance cannot reach another one, it tells all connected entries, because
 the subscribers of the other would miss the change.
@@ -22,6 +22,7 @@
 
     def __init__(self):
         self._unsubscribed: set[abc.Hashable] = set()
+        self._watchers: set[abc.Hashable] = set()
         self._asked_count = 0
         self._recent: collections.deque[tuple[float, tuple[str, ...]]] = (
             collections.deque()
@@ -37,6 +38,18 @@
     def drop(self, stream: abc.Hashable) -> None:
         """Removes a lost stream."""
         self._unsubscribed.discard(stream)
+        self._watchers.discard(stream)
+
+    def watch(self, stream: abc.Hashable, is_wanted: bool) -> None:
+        """Records whether an entry wants digests of the table."""
+        if is_wanted:
+            self._watchers.add(stream)
+        else:
+            self._watchers.discard(stream)
+
+    def watchers(self) -> tuple[abc.Hashable, ...]:
+        """Returns the streams of the entries that want digests."""
+        return tuple(self._watchers)
 
     def wants(self, stream: abc.Hashable) -> bool:
         """Whether the entry behind a stream is subscribed."""
--- a/auburnway/registrar/table_frame.py
+++ b/auburnway/registrar/table_frame.py
@@ -13,7 +13,7 @@
     """
 
     def __init__(self):
-        self._digest = ""
+        self._change_count = -1
         self._frame = b""
 
     def get(self, table: server_table.Table) -> bytes:
@@ -22,8 +22,8 @@
         Rows whose content has not changed may have the sequence number of an
         earlier heartbeat.
         """
-        if table.digest() != self._digest:
+        if table.change_count != self._change_count:
             rows = tuple(map(server_table.encode_row, table.rows()))
             self._frame = stream.pack(messages.encode(messages.Rows(rows)))
-            self._digest = table.digest()
+            self._change_count = table.change_count
         return self._frame
