Prefer servers of the own data centre by a share of their cost

Change: at least 30% of its cost is added for a server elsewhere.

Result: the test with lognormal latencies fails without the change.

--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -35,6 +35,10 @@
 # answer, at the higher cost.
 REJECTION_COST = 2.0
 EMPTY_BUDGET_REJECTION_COST = 8.0
+# Share of its cost that is added at least for a server in another data centre:
+# estimates of few samples differ by as much, and would send about half of the
+# requests of an entry to other data centres for nothing.
+REMOTE_SHARE = 0.3
 # Random share that is added to the expected time, so that servers with equal
 # expected times are all chosen.
 JITTER = 0.1
@@ -209,7 +213,8 @@
     Attributes:
       key: Identifier of the server.
       stats: Measurements of the server.
-      penalty_ms: Time added to its cost, for example for another data centre.
+      penalty_ms: Time added at least to its cost as it is in another data
+        centre; 0 in the own one.
       is_last_resort: Whether the server is used only when no other server is
         left.
     """
@@ -242,8 +247,10 @@
         is_avoided = now_ms < stats.avoid_until_ms
         cost_ms = stats.cost_ms(now_ms, base_ms, budget_fill)
         cost_ms *= 1 + JITTER * rng.random()
+        if candidate.penalty_ms:
+            cost_ms += max(candidate.penalty_ms, REMOTE_SHARE * cost_ms)
         is_poor = is_avoided or candidate.is_last_resort
-        return (is_poor, cost_ms + candidate.penalty_ms)
+        return (is_poor, cost_ms)
 
     return min(candidates, key=sort_key, default=None)
 
--- a/auburnway/policy/server_choice_test.py
+++ b/auburnway/policy/server_choice_test.py
@@ -79,3 +79,41 @@
     server.on_send(1000.0)
     server.on_reply(1000.0, 1000.0 + expected_ms, 1.0)
     assert server.slowness == 1.0
+
+
+def near_share(near_ratio, far_ratio, seed):
+    """Returns how often the near one of two servers with noise is chosen."""
+    rng = random.Random(seed)
+    chosen = 0
+    for _ in range(200):
+        pair = []
+        for key, ratio, penalty_ms in (
+            ("near", near_ratio, 0.0),
+            ("far", far_ratio, 3.0),
+        ):
+            server = server_choice.ServerStats(slots=3)
+            for n in range(6):
+                server.on_send(n * 50.0)
+                latency = ratio * rng.lognormvariate(0.0, 0.35)
+                server.on_reply(n * 50.0, 300.0, latency)
+            pair.append(candidate(key, server, penalty_ms))
+        chosen += server_choice.choose(pair, 310.0, 40.0, rng).key == "near"
+    return chosen / 200
+
+
+def test_noise_of_few_samples_sends_no_request_to_another_data_centre():
+    # Guards against an entry that sees a few requests a second and takes the
+    # noise of their latencies for a faster server elsewhere.
+    assert near_share(1.0, 1.0, 1) > 0.9
+
+
+def test_much_slower_server_of_the_own_data_centre_is_left():
+    # Guards against nearness that keeps requests at a slow server.
+    assert near_share(2.5, 1.0, 1) < 0.05
+
+
+def test_busy_server_of_the_own_data_centre_is_left():
+    busy = server_choice.ServerStats(slots=3)
+    busy.on_load(3, 1, 1000.0)
+    pair = [candidate("near", busy), candidate("far", penalty_ms=5.0)]
+    assert chosen(pair) == "far"
