Leave out killed entries from the directory at once

Cause: an entry stayed listed for 2 s after all control instances had removed it, so that clients were sent to an entry that was killed.

Change: an entry that every instance which listed it has removed is dropped at once. A lost stream counts at the next tick of 250 ms, as an entry whose connection was reset is back after 100 ms. The loss of a control instance removes no entry, as before.

--- a/auburnway/gateway/entry_list.py
+++ b/auburnway/gateway/entry_list.py
@@ -2,8 +2,9 @@
 
 Each control instance sends a list of the ready entries that are connected to
 it. An entry remains listed for some time after the last control instance that
-listed it was lost or removed the entry, so that the loss of a control instance
-removes no entry from the clients' addresses.
+listed it was lost, so that the loss of a control instance removes no entry from
+the clients' addresses. An entry that was removed by all instances that listed
+it has stopped or failed, and leaves the list at once.
 """
 
 from collections import abc
@@ -12,7 +13,7 @@
 from auburnway.policy import entry_selection
 
 # How long an entry stays listed after the last control instance that listed it
-# was lost or removed it.
+# was lost or sent a list without it.
 LISTED_TTL_MS = 2_000.0
 # Time for which the number of active entries is cached, as every send needs it.
 ACTIVE_COUNT_TTL_MS = 100.0
@@ -70,7 +71,11 @@
           load: As for `put`, after the changes.
         """
         current = set(self._entries_by_control.get(control, ()))
-        self.put(control, current.difference(removed).union(added), load)
+        removed = set(removed)
+        self.put(control, (current - removed).union(added), load)
+        listed = set().union(*self._entries_by_control.values())
+        for entry in removed - listed:
+            self._last_listed_ms.pop(entry, None)
 
     def remove_list(self, control: str) -> None:
         """Removes the list of a control instance whose stream was lost."""
--- a/auburnway/gateway/entry_list_test.py
+++ b/auburnway/gateway/entry_list_test.py
@@ -28,6 +28,23 @@
     assert set(entries.entries()) == {B, C}
 
 
+def test_entry_that_all_instances_removed_is_dropped_at_once():
+    # Guards against clients that are sent to a killed entry for seconds.
+    _, entries = merged_list()
+    entries.change("c1", (), (A, B), 0.1)
+    assert set(entries.entries()) == {B, C}
+    entries.change("c2", (), (B,), 0.1)
+    assert set(entries.entries()) == {C}
+
+
+def test_entry_that_one_lost_instance_listed_stays_for_a_time():
+    clock, entries = merged_list()
+    entries.remove_list("c1")
+    assert A in entries.entries()
+    clock.advance(entry_list_lib.LISTED_TTL_MS + 1)
+    assert set(entries.entries()) == {B, C}
+
+
 def test_unlisted_entry_is_dropped_after_a_time():
     clock, entries = merged_list()
     entries.put("c1", (B,), 0.1)
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -294,10 +294,11 @@
 
     def _on_lost(self, stream: stream_lib.Stream) -> None:
         if self._entries.drop(stream):
+            # The next tick removes the entry from the list, unless it has
+            # connected again: a reset connection is no lost entry.
             loguru.logger.bind(entry=str(stream.context)).warning(
                 "lost the stream of an entry"
             )
-            self._push_entries()
 
     def on_hello(
         self, hello: messages.Hello, stream: stream_lib.Stream
