Listen for clients before an entry's modules are imported

Cause: an entry imports for about 0.29 s of processor time, 0.55 s and more on half a core.

Change: the program of an entry reads the address from the settings and opens the socket first; clients wait in its backlog. Other sockets are opened as before: the directory and the readiness address answer or refuse at once.

Result: the test with the real program fails without the change.

--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import random
+import socket
 
 import loguru
 
@@ -71,6 +72,8 @@
       settings: Settings of the entry.
       dialect: Header names and document formats.
       loop: Event loop of the entry.
+      listener: Socket that listens on the address for clients already; None
+        to open one.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         settings: settings_lib.Settings,
         dialect: dialect_lib.Dialect,
         loop: process.Loop,
+        listener: socket.socket | None = None,
     ):
         self._settings = settings
         self._dialect = dialect
@@ -110,6 +114,7 @@
             loop.timers,
             loop.clock,
             self._on_request,
+            listener=listener,
         )
         loop.stack.callback(self.client_server.close)
         self.client_server.on_round_trip = self.client_delay.on_round_trip
--- a/auburnway/net/stream.py
+++ b/auburnway/net/stream.py
@@ -17,6 +17,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import listening
 from auburnway.net import socket_set
 
 RECEIVE_BYTES = 1 << 18
@@ -320,7 +321,7 @@
         self._on_message = on_message
         self._on_close = on_close
         self.streams: set[Stream] = set()
-        self._sock = listen(address)
+        self._sock = listening.listen(address, BACKLOG)
         sockets.add(self._sock, socket_set.READ, self._accept)
         self._heartbeat_timer = timers.every(
             HEARTBEAT_PERIOD_MS, self._keep_alive
@@ -364,22 +365,3 @@
     def _on_stream_close(self, stream: Stream) -> None:
         self.streams.discard(stream)
         self._on_close(stream)
-
-
-def listen(address: str, backlog: int = BACKLOG) -> socket.socket:
-    """Returns a non-blocking socket that listens on `ip:port`.
-
-    Raises:
-      OSError: The address is in use or not local.
-    """
-    host, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((host, int(port)))
-        sock.listen(backlog)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/auburnway/net/web_server.py
+++ b/auburnway/net/web_server.py
@@ -18,12 +18,11 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import listening
 from auburnway.net import socket_set
-from auburnway.net import stream as stream_lib
 
 RECEIVE_BYTES = 1 << 16
 SWEEP_PERIOD_MS = 250.0
-BACKLOG = 1024
 # A connection with this many waiting pipelined requests is not read from.
 MAX_PIPELINED = 16
 
@@ -348,6 +347,8 @@
       on_request: Called with each request, which is answered by
         `Request.reply` during this call or later.
       limits: Limits in force; the owner may replace them.
+      listener: Socket that listens on the address already; owned by the server
+        from now on. None to open one.
 
     Attributes:
       closes_after_reply: Whether a connection is closed after its next reply.
@@ -367,6 +368,7 @@
         clock: clock_lib.Clock,
         on_request: abc.Callable[[Request], None],
         limits: Limits = Limits(),  # noqa: B008 (immutable)
+        listener: socket.socket | None = None,
     ):
         self.address = address
         self.sockets = sockets
@@ -376,9 +378,7 @@
         self.closes_after_reply = False
         self.on_round_trip: abc.Callable[[float], None] = lambda _: None
         self.connections: set[_Connection] = set()
-        self._listener: socket.socket | None = stream_lib.listen(
-            address, BACKLOG
-        )
+        self._listener = listener or listening.listen(address)
         sockets.add(self._listener, socket_set.READ, self._accept)
         self._sweep_timer = timers.every(SWEEP_PERIOD_MS, self._sweep)
 
@@ -416,7 +416,7 @@
         self.sockets.remove(connection.sock)
 
     def _accept(self, _: int) -> None:
-        for _attempt in itertools.repeat(None, BACKLOG):
+        for _attempt in itertools.repeat(None, listening.BACKLOG):
             try:
                 sock, _address = self._listener.accept()
             except BlockingIOError:
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -8,6 +8,7 @@
 from collections import abc
 import os
 import pathlib
+import socket
 import sys
 
 import loguru
@@ -15,32 +16,43 @@
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import logs
 from auburnway.kernel import process
+from auburnway.platform import early_listener
 
-SETTINGS_VARIABLE = "AUBURNWAY_SETTINGS"
 
+def main(
+    arguments: abc.Sequence[str] | None = None,
+    listener: socket.socket | None = None,
+) -> int:
+    """Runs one program until it ends, and returns its exit code.
 
-def main(arguments: abc.Sequence[str] | None = None) -> int:
-    """Runs one program until it ends, and returns its exit code."""
+    Args:
+      arguments: Command line; None for that of this process.
+      listener: Socket that listens for clients of an entry already; None if
+        the entry is to open one.
+    """
     parser = argparse.ArgumentParser(
         prog="auburnway-platform",
         description="Programs of auburnway on the users' platform.",
     )
     parser.add_argument("program", choices=("entry", "control"))
+    variable = early_listener.SETTINGS_VARIABLE
     parser.add_argument(
         "--settings",
-        default=os.environ.get(SETTINGS_VARIABLE),
-        help=f"settings file, TOML; by default ${SETTINGS_VARIABLE}",
+        default=os.environ.get(variable),
+        help=f"settings file, TOML; by default ${variable}",
     )
     parser.add_argument("--log-level", default="INFO", choices=logs.LEVELS)
     options = parser.parse_args(arguments)
     if not options.settings:
-        parser.error(f"--settings is required if ${SETTINGS_VARIABLE} is unset")
+        parser.error(f"--settings is required if ${variable} is unset")
     if options.program == "entry":
-        return _run_entry(options)
+        return _run_entry(options, listener)
     return _run_control(options)
 
 
-def _run_entry(options: argparse.Namespace) -> int:
+def _run_entry(
+    options: argparse.Namespace, listener: socket.socket | None
+) -> int:
     # Each program imports only the modules it uses, to start faster.
     from auburnway.gateway import node as node_lib
     from auburnway.gateway import settings as settings_lib
@@ -52,7 +64,7 @@
     settings = process.load_settings(settings_lib.Settings, options.settings)
     writer = logs.set_up(settings.name, options.log_level, sys.stdout)
     loop = process.Loop(clock_lib.SystemClock())
-    node = node_lib.Node(settings, documents.DIALECT, loop)
+    node = node_lib.Node(settings, documents.DIALECT, loop, listener)
     entry_calls = calls.EntryCalls(node, settings.address_ttl_ms)
     for address, on_request, on_round_trip in (
         (settings.ready_address, entry_calls.on_readiness, lambda _: None),
--- a/auburnway/platform/trouble_test.py
+++ b/auburnway/platform/trouble_test.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import re
+import socket
 import time
 
 import pytest
@@ -165,6 +166,30 @@
     assert status == 200
 
 
+def test_clients_wait_while_an_entry_starts(platform):
+    # Guards against clients that fail because the entry needs most of a second
+    # to import its modules.
+    entry = platform.entries[2]
+    entry.kill()
+    entry.start()
+    address = (entry.ip, testing.Platform.CLIENT_PORT)
+
+    def connect():
+        try:
+            return socket.create_connection(address, 5.0)
+        except OSError:
+            return None
+
+    with testing.wait_until(connect) as client:
+        assert not entry.has_started()
+        client.sendall(
+            b"GET /one/x HTTP/1.1\r\nHost: h.example\r\n"
+            b"Request-Id: w1\r\nDeadline-Ms: 4000\r\n\r\n"
+        )
+        assert client.recv(100).startswith(b"HTTP/1.1 200 ")
+    testing.wait_until(entry.has_started)
+
+
 def test_stopping_entry_takes_only_what_it_can_finish(platform):
     # Guards against a request that is taken late in the grace time and cut:
     # it may have run, and may not be sent again.
