Count failures of a server in its cost as rejections are

Change: a failed request raises the moving average of unserved requests, which decays over 4 s, as a rejection does.

Result: the test with 40% lost answers fails without the change.

--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -30,11 +30,11 @@
 FULL_SLOTS_FACTOR = 0.2
 # Minimum slowness of a server that has just started.
 COLD_FACTOR = 1.5
-# Cost of a rejection, in base times: the retry and its use of the budget. When
-# the budget is empty there is no retry and the shard is missing from the
-# answer, at the higher cost.
-REJECTION_COST = 2.0
-EMPTY_BUDGET_REJECTION_COST = 8.0
+# Cost of a request that is rejected or fails, in base times: the retry and its
+# use of the budget. When the budget is empty there is no retry and the shard is
+# missing from the answer, at the higher cost.
+UNSERVED_COST = 2.0
+EMPTY_BUDGET_UNSERVED_COST = 8.0
 # Share of its cost that is added at least for a server in another data centre:
 # estimates of few samples differ by as much, and would send about half of the
 # requests of an entry to other data centres for nothing.
@@ -51,7 +51,8 @@
     Attributes:
       slots: Number of requests that the server runs concurrently.
       slowness: Moving average of the ratio of latency to expected time.
-      rejections: Moving average of the share of rejected requests.
+      unserved: Moving average of the share of requests that were rejected or
+        failed.
       sampled_ms: Time of the last sample of the moving averages.
       outstanding_since_ms: Send times of the outstanding requests, oldest
         first.
@@ -65,7 +66,7 @@
 
     slots: int = 1
     slowness: float = 1.0
-    rejections: float = 0.0
+    unserved: float = 0.0
     sampled_ms: float = float("-inf")
     outstanding_since_ms: list[float] = dataclasses.field(default_factory=list)
     load: int = 0
@@ -109,8 +110,13 @@
             self._add_sample(ratio, 0.0, now_ms)
 
     def on_failure(self, sent_ms: float, now_ms: float) -> None:
-        """Records a failed request; the server is then avoided for a time."""
+        """Records a failed request; the server is then avoided for a time.
+
+        A server that fails part of its requests is avoided again and again
+        only for a moment, so failures also raise its cost.
+        """
         self._remove_outstanding(sent_ms)
+        self._add_unserved(now_ms)
         self.failures += 1
         pause_ms = FAILURE_PAUSE_MS * 2 ** (self.failures - 1)
         self.avoid_until_ms = now_ms + min(pause_ms, MAX_FAILURE_PAUSE_MS)
@@ -118,8 +124,7 @@
     def on_rejected(self, sent_ms: float, now_ms: float) -> None:
         """Records the end of a request that the server rejected."""
         self._remove_outstanding(sent_ms)
-        slowness = self._decayed(self.slowness, 1.0, now_ms)
-        self._add_sample(slowness, 1.0, now_ms)
+        self._add_unserved(now_ms)
 
     def on_load(self, running: int, waiting: int, now_ms: float) -> None:
         """Records the load that the server reported, in requests."""
@@ -168,7 +173,7 @@
     def cost_ms(
         self, now_ms: float, base_ms: float, budget_fill: float = 1.0
     ) -> float:
-        """Returns the expected time plus the expected cost of a rejection.
+        """Returns the expected time plus the expected cost of a failure.
 
         Args:
           now_ms: Current time.
@@ -176,25 +181,29 @@
           budget_fill: Remaining share of the retry budget, 0 to 1.
         """
         cost_ms = self.expected_ms(now_ms, base_ms)
-        rejections = self._decayed(self.rejections, 0.0, now_ms)
-        if rejections:
+        unserved = self._decayed(self.unserved, 0.0, now_ms)
+        if unserved:
             empty_budget_cost = (1 - budget_fill) * (
-                EMPTY_BUDGET_REJECTION_COST - REJECTION_COST
-            )
-            cost_ms += (
-                (REJECTION_COST + empty_budget_cost) * base_ms * rejections
+                EMPTY_BUDGET_UNSERVED_COST - UNSERVED_COST
             )
+            cost_ms += (UNSERVED_COST + empty_budget_cost) * base_ms * unserved
         return cost_ms
 
     def _remove_outstanding(self, sent_ms: float) -> None:
         if sent_ms in self.outstanding_since_ms:
             self.outstanding_since_ms.remove(sent_ms)
 
-    def _add_sample(self, ratio: float, rejected: float, now_ms: float) -> None:
+    def _add_unserved(self, now_ms: float) -> None:
+        slowness = self._decayed(self.slowness, 1.0, now_ms)
+        self._add_sample(slowness, 1.0, now_ms)
+
+    def _add_sample(
+        self, ratio: float, is_unserved: float, now_ms: float
+    ) -> None:
         slowness = self._decayed(self.slowness, 1.0, now_ms)
-        rejections = self._decayed(self.rejections, 0.0, now_ms)
+        unserved = self._decayed(self.unserved, 0.0, now_ms)
         self.slowness = slowness + SAMPLE_WEIGHT * (ratio - slowness)
-        self.rejections = rejections + SAMPLE_WEIGHT * (rejected - rejections)
+        self.unserved = unserved + SAMPLE_WEIGHT * (is_unserved - unserved)
         self.sampled_ms = now_ms
 
     def _decayed(self, value: float, idle_value: float, now_ms: float) -> float:
--- a/auburnway/policy/server_choice_test.py
+++ b/auburnway/policy/server_choice_test.py
@@ -117,3 +117,35 @@
     busy.on_load(3, 1, 1000.0)
     pair = [candidate("near", busy), candidate("far", penalty_ms=5.0)]
     assert chosen(pair) == "far"
+
+
+def test_server_that_fails_part_of_its_requests_gets_few():
+    # Guards against a server that loses two of five answers and gets its share
+    # of the requests again after each pause.
+    rng = random.Random(3)
+    servers = {key: server_choice.ServerStats(slots=3) for key in "abc"}
+    counts = dict.fromkeys(servers, 0)
+    for n in range(200):
+        now_ms = n * 100.0
+        best = server_choice.choose(
+            [candidate(key, stats) for key, stats in servers.items()],
+            now_ms,
+            BASE_MS,
+            rng,
+        )
+        counts[best.key] += 1
+        best.stats.on_send(now_ms)
+        if best.key == "a" and rng.random() < 0.4:
+            best.stats.on_failure(now_ms, now_ms + 20.0)
+        else:
+            best.stats.on_reply(now_ms, now_ms + 20.0, 1.0)
+    assert counts["a"] < 20
+
+
+def test_server_that_failed_once_is_used_again():
+    stats = server_choice.ServerStats(slots=3)
+    stats.on_send(0.0)
+    stats.on_failure(0.0, 20.0)
+    pair = [candidate("failed", stats), candidate("far", penalty_ms=3.0)]
+    assert chosen(pair, 300.0) == "far"
+    assert chosen(pair, 5000.0) == "failed"
