Count and test requests for news that did not arrive

The test freezes each control instance in turn; without the comparison of the tables the news take 2 s and more, until the silence of the source is noticed.

--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -53,6 +53,8 @@
       entries: Entries that clients may use.
       is_ready: Whether this entry is reported as ready; set by `report_ready`.
       load: Reported load of this entry; set by `report_load`.
+      table_request_count: Number of requests for the table, as news did not
+        arrive.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.configuration: route_table.Configuration | None = None
         self.is_ready = False
         self.load = 0.0
+        self.table_request_count = 0
         self._settings = settings
         self._dialect = dialect
         self._loop = loop
@@ -191,13 +194,17 @@
         if self._digest_watch.should_ask(
             self.table.digest(), self._clock.now_ms()
         ):
+            self.table_request_count += 1
             loguru.logger.bind(control=self._sources.watched).info(
                 "asking for news that did not arrive"
             )
+            # A subscription, even a short one, begins with the whole table.
             self._subscribe(self._sources.watched, True)
             self._subscribe(self._sources.watched, False)
 
-    def on_table_digest(self, digest: messages.TableDigest, address: str):
+    def on_table_digest(
+        self, digest: messages.TableDigest, address: str
+    ) -> None:
         """Records the digest of the watched control instance."""
         if address == self._sources.watched:
             self._digest_watch.on_digest(digest.digest)
--- a/auburnway/gateway/telemetry.py
+++ b/auburnway/gateway/telemetry.py
@@ -40,6 +40,11 @@
             "Known backend servers, ended ones included.",
             lambda: [(len(node.feed.table), {})],
         )
+        gauge(
+            "table.requests",
+            "Requests for the table of servers, as news did not arrive.",
+            lambda: [(node.feed.table_request_count, {})],
+        )
         gauge(
             "backend.connections",
             "Open connections to backend servers.",
--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -13,6 +13,9 @@
 from auburnway.platform import testing
 
 CATCH_UP_WAIT_S = 4.0
+# Time in which news reach an entry although one control instance is frozen: a
+# digest each 0.25 s, 0.5 s of difference, and a check each 0.25 s.
+NEWS_S = 1.5
 # Third octet of the loopback addresses of the first pytest-xdist worker.
 FIRST_SUBNET = 61
 
@@ -162,6 +165,26 @@
     return len(old.requests) == before
 
 
+@pytest.mark.parametrize("frozen", range(3))
+def test_news_arrive_while_their_source_stands_still(platform, frozen):
+    # Guards against an entry that goes on using a server for seconds after its
+    # drain, as the one control instance that sends it news is frozen.
+    name = f"gone-{frozen}"
+    backend = testing.Backend(name, "unused")
+    other = platform.controls[(frozen + 1) % 3]
+    platform.controls[frozen].send_signal(signal.SIGSTOP)
+    try:
+        address = f"{other.ip}:{platform.CONTROL_PORT}"
+        assert backend.send_heartbeat(address) == 200
+        accepted_s = time.monotonic()
+        for entry in platform.entries:
+            testing.wait_until(lambda e=entry: name in e.log_path.read_text())
+        assert time.monotonic() - accepted_s < NEWS_S
+    finally:
+        platform.controls[frozen].send_signal(signal.SIGCONT)
+        backend.close()
+
+
 def test_directory_lists_all_entries(platform):
     address = f"{platform.entries[0].ip}:{platform.DIRECTORY_PORT}"
 
@@ -180,6 +203,7 @@
         (entry, "auburnway_answers_total"),
         (entry, r"auburnway_request_duration_seconds_bucket"),
         (entry, r"auburnway_configuration_revision{.*} 3\.0"),
+        (entry, r"auburnway_table_requests{.*} \d"),
         (control, r"auburnway_consensus_voters{.*} 3\.0"),
         (control, r"auburnway_log_dropped_lines{.*} 0\.0"),
     ):
