--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -36,8 +36,8 @@
 UNSERVED_COST = 2.0
 EMPTY_BUDGET_UNSERVED_COST = 8.0
 # Share of its cost that is added at least for a server in another data centre:
-# estimates of few samples differ by as much, and would send about half of the
-# requests of an entry to other data centres for nothing.
+# estimates of few samples differ by as much between equal servers, and requests
+# would cross data centres for nothing.
 REMOTE_SHARE = 0.3
 # Random share that is added to the expected time, so that servers with equal
 # expected times are all chosen.
