Log and count how many voters may still be lost

The leader now logs the losses that are still survivable with the silence of each voter, when that number changes; an instance without a leader for 2 s logs the voters, the votes it got and its last entry. A gauge holds the number of survivable losses on the leader.

--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -18,6 +18,7 @@
 from returns import result
 
 from auburnway.control import store as store_lib
+from auburnway.control import voter_health
 from auburnway.core import errors
 from auburnway.core import raft as raft_lib
 from auburnway.core import raft_records as records
@@ -38,6 +39,9 @@
 OnReply = abc.Callable[[result.Result], None]
 Post = abc.Callable[[abc.Callable[[], None]], None]
 
+# An election takes a fraction of this time while a majority of voters runs.
+NO_LEADER_WARNING_MS = 2_000.0
+
 
 class StateMachine(typing.Protocol):
     """State machine to which the commands of the log are applied.
@@ -135,6 +139,9 @@
         )
         self._load_snapshot(store.log.snapshot)
         self._handled_role = (self.raft.role, 0)
+        self._health = voter_health.VoterHealth(
+            self.raft, loop.clock, NO_LEADER_WARNING_MS
+        )
         self._posted_calls: collections.deque[abc.Callable] = (
             collections.deque()
         )
@@ -274,6 +281,7 @@
     def _tick(self):
         self._raft_steps.append(self.raft.tick)
         self._handle_queued()
+        self._health.check()
 
     def _handle_queued(self) -> None:
         """Handles queued work until its callbacks queue no more."""
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -92,6 +92,11 @@
         silent_ms = self._clock.now_ms() - self._leader_contact_ms
         return bool(self.leader) and silent_ms < self.config.election_min_ms
 
+    @property
+    def granted_votes(self) -> tuple[str, ...]:
+        """Incarnations that granted a vote in the election in progress."""
+        return tuple(v for v, granted in self._votes.items() if granted)
+
     def needs_join(self) -> bool:
         """Whether this node should ask the leader to add it as a member.
 
--- a/auburnway/core/raft_leader.py
+++ b/auburnway/core/raft_leader.py
@@ -7,6 +7,7 @@
 import typing
 
 from auburnway.core import clock as clock_lib
+from auburnway.core import member_set
 from auburnway.core import raft_records as records
 
 if typing.TYPE_CHECKING:
@@ -78,6 +79,26 @@
         """Returns the replication state of another member, or None."""
         return self._progress.get(incarnation)
 
+    def member_states(self) -> tuple[member_set.MemberState, ...]:
+        """Returns the state of all members, the leader among them."""
+        return tuple(map(self._member_state, self._node.members))
+
+    def _member_state(self, member: records.Member) -> member_set.MemberState:
+        progress = self._progress.get(member.incarnation)
+        if progress is None:
+            return member_set.MemberState(member, 0.0, True)
+        return member_set.MemberState(
+            member,
+            self._clock.now_ms() - progress.last_reply_ms,
+            progress.match_index >= self._node.commit,
+        )
+
+    def survivable_losses(self) -> int:
+        """Returns how many further voters may be lost."""
+        return member_set.survivable_losses(
+            self.member_states(), self._node.config.election_max_ms
+        )
+
     def has_quorum(self) -> bool:
         """Whether a majority answered within one election timeout."""
         since_ms = self._clock.now_ms() - self._node.config.election_min_ms
--- a/auburnway/registrar/telemetry.py
+++ b/auburnway/registrar/telemetry.py
@@ -36,6 +36,11 @@
             "Voters of the latest member set.",
             lambda: [(sum(m.voter for m in consensus.raft.members), {})],
         )
+        gauge(
+            "consensus.survivable_losses",
+            "Further voters that may be lost; only on the leader.",
+            lambda: _survivable_losses(consensus),
+        )
         gauge(
             "consensus.log.size",
             "Size of the log on disk.",
@@ -61,3 +66,8 @@
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return self._metrics.text()
+
+
+def _survivable_losses(consensus):
+    leader = consensus.raft.leader_state
+    return [] if leader is None else [(leader.survivable_losses(), {})]
