Replace a lost control instance by the one that waits for its place

Cause: a replacement under another address was promoted beside the lost voter, which stayed for remove_silent_ms (8 s), measured anew by each new leader. An even set of four with one lost survives no further loss. Class of fault: a member change that makes the set larger, but not able to survive more losses.

Change: core/member_set.py, pure, chooses the next single change by the losses that the voters then survive. A caught-up learner replaces a voter that is silent for replace_silent_ms (2 s); an odd number of voters is kept, a spare instance waits as a learner; voters that nobody replaces leave in pairs. Ruled out: a shorter remove_silent_ms alone, which removes voters that only restart.

--- a/auburnway/core/raft_leader.py
+++ b/auburnway/core/raft_leader.py
@@ -86,7 +86,7 @@
     def _member_state(self, member: records.Member) -> member_set.MemberState:
         progress = self._progress.get(member.incarnation)
         if progress is None:
-            return member_set.MemberState(member, 0.0, True)
+            return member_set.MemberState(member, 0.0, True, is_leader=True)
         return member_set.MemberState(
             member,
             self._clock.now_ms() - progress.last_reply_ms,
@@ -368,59 +368,4 @@
                 remaining = [m for m in members if m.voter or m.name != name]
                 learner = dataclasses.replace(member, voter=False)
                 return (*remaining, learner)
-        for learner in members:
-            if learner.voter:
-                continue
-            progress = self._progress[learner.incarnation]
-            if progress.match_index < self._node.commit:
-                continue
-            old_voters = [
-                m for m in members if m.voter and m.name == learner.name
-            ]
-            if not old_voters:
-                promoted = dataclasses.replace(learner, voter=True)
-                rest = (m for m in members if m is not learner)
-                return (*rest, promoted)
-            if not self._is_unresponsive(old_voters[0].incarnation):
-                # Two processes use the same name, and the voter still replies,
-                # so the voter stays.
-                continue
-            return tuple(m for m in members if m is not old_voters[0])
-        return self._without_silent_member(members)
-
-    def _without_silent_member(
-        self, members: records.Members
-    ) -> records.Members | None:
-        """Returns the members without one that is silent for too long.
-
-        Returns None when there is no such member or when it must stay. A
-        replacement machine at another address has another name, so it does
-        not replace the old member. If the old member stayed a voter, one
-        further loss could leave no majority.
-        """
-        limit_ms = self._node.config.remove_silent_ms
-        if limit_ms is None:
-            return None
-        now_ms = self._clock.now_ms()
-        silent = [
-            m
-            for m in members
-            if m.incarnation != self._incarnation
-            and now_ms - self._progress[m.incarnation].last_reply_ms > limit_ms
-        ]
-        responsive = [m for m in members if m.voter and m not in silent]
-        for member in silent:
-            if (
-                not member.voter
-                or len(responsive) >= self._node.config.min_voters
-            ):
-                return tuple(m for m in members if m is not member)
-        return None
-
-    def _is_unresponsive(self, incarnation: str) -> bool:
-        if incarnation == self._incarnation:
-            return False
-        silent_ms = (
-            self._clock.now_ms() - self._progress[incarnation].last_reply_ms
-        )
-        return silent_ms > self._node.config.election_max_ms
+        return member_set.next_members(self.member_states(), self._node.config)
--- a/auburnway/core/raft_model_test.py
+++ b/auburnway/core/raft_model_test.py
@@ -325,6 +325,10 @@
         number = int(old.identity.incarnation.split(".")[1].strip("first") or 0)
         self.instances[name] = Instance(self, name, f"{name}.{number + 1}", ())
 
+    def lose_for_good(self, name):
+        """Removes an instance; neither it nor its disk returns."""
+        self.instances.pop(name).raft = None
+
     def add(self, name):
         """Adds an instance with an empty disk under a new name."""
         self.instances[name] = Instance(self, name, f"{name}.first", ())
--- a/auburnway/core/raft_records.py
+++ b/auburnway/core/raft_records.py
@@ -262,11 +262,13 @@
         has had no contact with a leader, as after a start of all instances;
         None to use the regular times. A short time is safe, because a pre-vote
         does not disturb a leader that other nodes have contact with.
-      remove_silent_ms: Time without a reply after which the leader removes a
-        voter; None to never remove one. A removed node joins again when it
-        returns.
-      min_voters: Minimum number of responsive voters that must remain after
-        such a removal.
+      remove_silent_ms: Time without a reply after which the leader removes
+        learners, and pairs of voters that nobody replaces; None to never
+        remove one. A removed node joins again when it returns.
+      replace_silent_ms: Time without a reply after which the leader replaces a
+        voter by a learner that is caught up; None to never replace one that is
+        only silent.
+      min_voters: Minimum number of voters after a removal.
     """
 
     incarnation: str
@@ -275,4 +277,5 @@
     election_max_ms: float = ELECTION_MAX_MS
     first_election_max_ms: float | None = None
     remove_silent_ms: float | None = None
+    replace_silent_ms: float | None = None
     min_voters: int = 3
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -115,6 +115,7 @@
                 ELECTION_MAX_MS,
                 FIRST_ELECTION_MAX_MS,
                 remove_silent_ms=settings.remove_silent_ms,
+                replace_silent_ms=settings.replace_silent_ms,
                 min_voters=2 * settings.tolerated_losses + 1,
             ),
         )
--- a/auburnway/registrar/settings.py
+++ b/auburnway/registrar/settings.py
@@ -36,15 +36,20 @@
         "Maximum size of a request body, in bytes.", 1 << 24, low=1024
     )
     remove_silent_ms: float = settings_lib.setting(
-        "Time without messages after which a voter is removed if enough other"
-        " voters are reachable, in ms.",
+        "Time without messages after which a learner is removed, or two voters"
+        " that nobody replaces, in ms.",
         8_000.0,
         low=1_000,
     )
+    replace_silent_ms: float = settings_lib.setting(
+        "Time without messages after which a voter is replaced by an instance"
+        " that waits as a learner, in ms.",
+        2_000.0,
+        low=600,
+    )
     tolerated_losses: int = settings_lib.setting(
         "Number of control instances that may be lost at once, with their"
-        " disks. Silent voters are removed only while enough voters are"
-        " reachable to tolerate that.",
+        " disks. A removal leaves at least as many voters as tolerate that.",
         1,
         low=0,
         high=50,
