--- a/auburnway/control/node.py
+++ b/auburnway/control/node.py
@@ -39,9 +39,6 @@
 OnReply = abc.Callable[[result.Result], None]
 Post = abc.Callable[[abc.Callable[[], None]], None]
 
-# An election takes a fraction of this time while a majority of voters runs.
-NO_LEADER_WARNING_MS = 2_000.0
-
 
 class StateMachine(typing.Protocol):
     """State machine to which the commands of the log are applied.
@@ -139,9 +136,7 @@
         )
         self._load_snapshot(store.log.snapshot)
         self._handled_role = (self.raft.role, 0)
-        self._health = voter_health.VoterHealth(
-            self.raft, loop.clock, NO_LEADER_WARNING_MS
-        )
+        self._health = voter_health.VoterHealth(self.raft, loop.clock)
         self._posted_calls: collections.deque[abc.Callable] = (
             collections.deque()
         )
--- a/auburnway/control/voter_health.py
+++ b/auburnway/control/voter_health.py
@@ -5,6 +5,10 @@
 from auburnway.core import clock as clock_lib
 from auburnway.core import raft as raft_lib
 
+# Time without a leader after which this is logged. An election takes a
+# fraction of it while a majority of voters runs.
+NO_LEADER_MS = 2_000.0
+
 
 class VoterHealth:
     """Watches the voters of one control instance.
@@ -12,15 +16,11 @@
     Args:
       raft: Raft node of this instance.
       clock: Source of time.
-      no_leader_ms: Time without a leader after which this is logged, in ms.
     """
 
-    def __init__(
-        self, raft: raft_lib.Raft, clock: clock_lib.Clock, no_leader_ms: float
-    ):
+    def __init__(self, raft: raft_lib.Raft, clock: clock_lib.Clock):
         self._raft = raft
         self._clock = clock
-        self._no_leader_ms = no_leader_ms
         self._logged_losses: int | None = None
         self._leader_seen_ms: float | None = clock.now_ms()
 
@@ -54,7 +54,7 @@
             self._leader_seen_ms = now_ms
         elif (
             self._leader_seen_ms is not None
-            and now_ms - self._leader_seen_ms >= self._no_leader_ms
+            and now_ms - self._leader_seen_ms >= NO_LEADER_MS
         ):
             self._leader_seen_ms = None
             loguru.logger.bind(
--- a/auburnway/control/voter_health_test.py
+++ b/auburnway/control/voter_health_test.py
@@ -28,7 +28,7 @@
     cluster = model.Cluster()
     cluster.run(1_000.0)
     leader = cluster.leader()
-    health = voter_health.VoterHealth(leader.raft, cluster.clock, 2_000.0)
+    health = voter_health.VoterHealth(leader.raft, cluster.clock)
     other = next(n for n in model.NAMES if n != leader.identity.name)
     cluster.instances[other].crash()
     message, extra = _checked(cluster, health, 3_000.0)[-1]
@@ -44,7 +44,7 @@
     cluster = model.Cluster()
     cluster.run(1_000.0)
     survivor = cluster.leader()
-    health = voter_health.VoterHealth(survivor.raft, cluster.clock, 2_000.0)
+    health = voter_health.VoterHealth(survivor.raft, cluster.clock)
     for name in model.NAMES:
         if name != survivor.identity.name:
             cluster.instances[name].crash()
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -10,10 +10,10 @@
 """
 
 from collections import abc
-import functools
 import random
 
 from auburnway.core import clock as clock_lib
+from auburnway.core import raft_handlers
 from auburnway.core import raft_leader
 from auburnway.core import raft_log
 from auburnway.core import raft_records as records
@@ -115,7 +115,7 @@
         if message.target == self.config.incarnation and self._accepts_message(
             message
         ):
-            _handle(message, self)
+            raft_handlers.handle(message, self)
         return self._collect_output()
 
     def tick(self) -> records.Output:
@@ -465,39 +465,3 @@
         )
         self._clear_output()
         return output
-
-
-@functools.singledispatch
-def _handle(message: records.Message, node: Raft) -> None:
-    raise TypeError(f"no handler for {type(message).__name__}")
-
-
-@_handle.register
-def _(message: records.VoteRequest, node: Raft) -> None:
-    node.on_vote_request(message)
-
-
-@_handle.register
-def _(message: records.VoteReply, node: Raft) -> None:
-    node.on_vote_reply(message)
-
-
-@_handle.register
-def _(message: records.Append, node: Raft) -> None:
-    node.on_append(message)
-
-
-@_handle.register
-def _(message: records.InstallSnapshot, node: Raft) -> None:
-    node.on_snapshot(message)
-
-
-@_handle.register
-def _(message: records.ElectNow, node: Raft) -> None:
-    node.on_elect_now(message)
-
-
-@_handle.register
-def _(message: records.AppendReply, node: Raft) -> None:
-    if node.leader_state is not None and message.term == node.term:
-        node.leader_state.on_reply(message)
