Keep control running while its disk is full

Cause: each failure of the disk ended the process, as after a failed sync, where the kernel may have dropped bytes. A full disk drops nothing that was synced.

Change: a control instance whose disk is full hands leadership over, casts no vote, acknowledges nothing, and refuses what needs agreement; it cuts off the failed record, reads its log again and takes part when 64 KiB have room. A start waits for room. EIO and the file size limit still end the process.

--- a/auburnway/control/state_machine.py
+++ b/auburnway/control/state_machine.py
@@ -6,7 +6,7 @@
 
 
 class ControlStateMachine:
-    """Implements `control.node.StateMachine` on the replicated state."""
+    """Implements `control.interfaces.StateMachine` on the replicated state."""
 
     empty = replicated_state.EMPTY_STATE
 
--- a/auburnway/control/store.py
+++ b/auburnway/control/store.py
@@ -17,6 +17,9 @@
 from auburnway.storage import snapshots
 from auburnway.storage import wal as wal_lib
 
+# File that is written to find out whether a full disk has room again.
+ROOM_FILE = "room"
+ROOM_BYTES = 1 << 16
 IDENTITY_FILE = "identity"
 
 
@@ -105,9 +108,27 @@
         self._save_job: futures.Future | None = None
         content = self._wal.load()
         self.truncated_bytes = content.truncated_bytes
+        self._use(content)
+
+    def reload(self) -> None:
+        """Reads hard state and log again after a disk was full.
+
+        Raises:
+          DiskFault: The disk is still full, or a file is damaged.
+        """
+        if self._save_job is not None:
+            self._save_job.exception()
+            self._save_job = None
+        # With less room the next steps would soon fail again.
+        self._disk.replace(ROOM_FILE, bytes(ROOM_BYTES))
+        self._disk.remove(ROOM_FILE)
+        self._use(self._wal.reload())
+
+    def _use(self, content: wal_lib.LogContent) -> None:
         self.hard_state = content.hard_state
         try:
-            self.log = raft_log.Log(snapshots.load(disk), content.entries)
+            snapshot = snapshots.load(self._disk)
+            self.log = raft_log.Log(snapshot, content.entries)
         except ValueError as error:
             raise disk_lib.DiskFault(
                 disk_lib.CorruptFile(str(error), self._wal.file)
--- a/auburnway/control/voter_health.py
+++ b/auburnway/control/voter_health.py
@@ -4,6 +4,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.core import raft as raft_lib
+from auburnway.core import raft_records as records
 
 # Time without a leader after which this is logged. An election takes a
 # fraction of it while a majority of voters runs.
@@ -64,3 +65,11 @@
                 last_index=self._raft.log.last_index,
                 last_term=self._raft.log.last_term,
             ).warning("no leader is elected")
+
+
+def log_members(members: records.Members) -> None:
+    """Logs a member set that was committed."""
+    loguru.logger.bind(
+        voters=[m.incarnation for m in members if m.voter],
+        learners=[m.incarnation for m in members if not m.voter],
+    ).info("member set was committed")
--- a/auburnway/core/raft.py
+++ b/auburnway/core/raft.py
@@ -28,6 +28,7 @@
       log: Log read from disk.
       clock: Source of time.
       rng: Random generator for election timeouts.
+      commit: Index up to which entries are known to be committed.
     """
 
     def __init__(
@@ -37,12 +38,13 @@
         log: raft_log.Log,
         clock: clock_lib.Clock,
         rng: random.Random,
+        commit: int = 0,
     ):
         self.config = config
         self.log = log
         self.role = records.Role.FOLLOWER
         self.leader = ""
-        self.commit = log.snapshot.index
+        self.commit = max(log.snapshot.index, commit)
         self._hard_state = hard_state
         self._clock = clock
         self._rng = rng
--- a/auburnway/core/raft_leader.py
+++ b/auburnway/core/raft_leader.py
@@ -199,15 +199,20 @@
             self._pending_learners[member.name] = member
             self._change_members()
 
-    def transfer(self) -> None:
-        """Starts a leadership transfer, limited to one election timeout."""
+    def successor(self) -> str | None:
+        """Returns the most advanced other voter, or None if there is none."""
         others = [
             (progress.match_index, progress.last_reply_ms, incarnation)
             for incarnation, progress in self._progress.items()
             if self._node.is_voter(incarnation)
         ]
-        if others:
-            self._transfer_target = max(others)[2]
+        return max(others)[2] if others else None
+
+    def transfer(self) -> None:
+        """Starts a leadership transfer, limited to one election timeout."""
+        successor = self.successor()
+        if successor is not None:
+            self._transfer_target = successor
             timeout_ms = self._node.config.election_max_ms
             self._transfer_due_ms = self._clock.now_ms() + timeout_ms
             self._request_election()
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -10,6 +10,7 @@
 import pathlib
 import socket
 import sys
+import time
 
 import loguru
 
@@ -108,7 +109,9 @@
         folder.mkdir(parents=True, exist_ok=True)
         disk = disk_lib.FolderDisk(folder)
         loop.stack.callback(disk.close)
-        identity, store = folder_lib.open_store(settings, disk)
+        identity, store = folder_lib.open_store_with_room(
+            settings, disk, time.sleep
+        )
     except disk_lib.DiskFault as fault:
         loguru.logger.error(fault.error.message)
         return fault.error.exit_code
--- a/auburnway/registrar/copy_writer.py
+++ b/auburnway/registrar/copy_writer.py
@@ -25,6 +25,8 @@
     def __init__(self, disk: disk_lib.Disk, stack: contextlib.ExitStack):
         self._disk = disk
         self._pending: dict[str, futures.Future] = {}
+        # Files whose last write failed; a full disk is logged once for each.
+        self._failed: set[str] = set()
         self._executor = futures.ThreadPoolExecutor(1, "copies")
         stack.callback(self._executor.shutdown, wait=False)
 
@@ -46,7 +48,13 @@
         try:
             self._disk.replace(file, frame)
         except disk_lib.DiskFault as fault:
-            loguru.logger.warning("cannot save a copy: {}", fault.error.message)
+            if file not in self._failed:
+                loguru.logger.warning(
+                    "cannot save a copy: {}", fault.error.message
+                )
+            self._failed.add(file)
+        else:
+            self._failed.discard(file)
 
 
 def read(disk: disk_lib.Disk, file: str) -> typing.Any:
--- a/auburnway/registrar/data_folder.py
+++ b/auburnway/registrar/data_folder.py
@@ -1,9 +1,11 @@
 """Opening and initialisation of a control instance's data folder."""
 
+from collections import abc
 import secrets
 
 import loguru
 
+from auburnway.control import full_disk
 from auburnway.control import store as store_lib
 from auburnway.core import raft_records
 from auburnway.registrar import settings as settings_lib
@@ -45,6 +47,36 @@
     return identity, store_lib.Store(disk)
 
 
+def open_store_with_room(
+    settings: settings_lib.Settings,
+    disk: disk_lib.Disk,
+    sleep: abc.Callable[[float], None],
+) -> tuple[store_lib.Identity, store_lib.Store]:
+    """Opens the data folder once its disk has room.
+
+    Args:
+      settings: Settings of the instance.
+      disk: Data folder.
+      sleep: Waits for a time in seconds.
+
+    Raises:
+      DiskFault: The folder cannot be read or written for another reason.
+    """
+    is_logged = False
+    while True:
+        try:
+            return open_store(settings, disk)
+        except disk_lib.DiskFault as fault:
+            if not fault.may_end:
+                raise
+            if not is_logged:
+                loguru.logger.warning(
+                    "waiting until the disk has room: {}", fault.error.message
+                )
+                is_logged = True
+            sleep(full_disk.RETRY_MS / 1000.0)
+
+
 def internal_addresses(settings: settings_lib.Settings) -> set[str]:
     """Returns the addresses, ip:port, of the seeds' internal ports."""
     return {
--- a/auburnway/registrar/revision_machine.py
+++ b/auburnway/registrar/revision_machine.py
@@ -40,7 +40,7 @@
 
 
 class RevisionMachine:
-    """Implementation of `control.node.StateMachine` over `State`."""
+    """Implementation of `control.interfaces.StateMachine` over `State`."""
 
     empty = State()
 
--- a/auburnway/registrar/telemetry.py
+++ b/auburnway/registrar/telemetry.py
@@ -36,6 +36,11 @@
             "Voters of the latest member set.",
             lambda: [(sum(m.voter for m in consensus.raft.members), {})],
         )
+        gauge(
+            "consensus.disk_full",
+            "1 while the instance takes no part because its disk is full.",
+            lambda: [(int(consensus.has_full_disk), {})],
+        )
         gauge(
             "consensus.survivable_losses",
             "Further voters that may be lost; only on the leader.",
--- a/auburnway/storage/disk.py
+++ b/auburnway/storage/disk.py
@@ -1,9 +1,9 @@
 """Files of one data folder, with explicit synchronization.
 
 Appended bytes are durable only after `sync` has returned. Every failure is
-raised as `DiskFault`, and the process must stop: after a failed sync the kernel
-may have dropped the dirty pages, so a retry can report success although bytes
-are lost.
+raised as `DiskFault`. Unless the disk is only full, the process must stop:
+after a failed sync the kernel may have dropped the dirty pages, so a retry can
+report success although bytes are lost.
 """
 
 from collections import abc
@@ -28,13 +28,25 @@
 
 
 class DiskFull(DiskError):
-    """The disk, quota or file size limit leaves no space for a write."""
+    """The disk or quota leaves no space for a write; it may have some later.
+
+    Nothing that was synced before is affected.
+    """
 
     code = "disk_full"
-    remedy = "Free space on the disk of the data folder, then start again."
+    remedy = "Free space on the disk of the data folder."
     exit_code = 6
 
 
+class FileTooLarge(DiskFull):
+    """The file size limit of the process leaves no space for a write."""
+
+    remedy = (
+        "Free space on the disk or raise the file size limit of the process,"
+        " then start again."
+    )
+
+
 class CorruptFile(DiskError):
     """The content of a file is damaged, or a required file is absent."""
 
@@ -47,21 +59,32 @@
 
 
 class DiskFault(Exception):
-    """Failure of a disk operation, after which the process must stop.
+    """Failure of a disk operation.
 
-    It is an exception and not a value, because no caller can recover from it.
+    It is an exception and not a value, because only the owner of the data
+    folder can react to it: the files must be read again or the process must
+    stop.
     """
 
     def __init__(self, error: DiskError):
         super().__init__(error.message)
         self.error = error
 
+    @property
+    def may_end(self) -> bool:
+        """Whether the disk may work again without a new start of the process.
+
+        After other errors the kernel may have dropped bytes that were written,
+        and a retry could report a success that is none.
+        """
+        is_full = isinstance(self.error, DiskFull)
+        return is_full and not isinstance(self.error, FileTooLarge)
+
 
 class Disk(typing.Protocol):
     """Flat folder of files.
 
-    Each method raises `DiskFault` when the operation fails; the folder must not
-    be used afterwards. Sizes are in bytes.
+    Each method raises `DiskFault` when the operation fails. Sizes are in bytes.
     """
 
     def read(self, name: str) -> bytes | None:
@@ -191,12 +214,18 @@
         try:
             yield
         except OSError as error:
-            is_full = error.errno in (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
-            error_class = DiskFull if is_full else DiskError
+            error_class = _ERRORS.get(error.errno, DiskError)
             path = str(self._folder / name)
             raise DiskFault(error_class(error.strerror or "", path)) from error
 
 
+_ERRORS = {
+    errno.ENOSPC: DiskFull,
+    errno.EDQUOT: DiskFull,
+    errno.EFBIG: FileTooLarge,
+}
+
+
 def _write_all(descriptor: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
@@ -261,7 +290,9 @@
             self._synced[name] = self._synced.get(name, b"") + pending
 
     def truncate(self, name: str, size: int) -> None:
-        """Truncates a file, durably."""
+        """Truncates a file, durably; a full disk refuses this too."""
+        if self._used_bytes() > self.capacity_bytes:
+            raise DiskFault(DiskFull("no space left", name))
         self._synced[name] = (self.read(name) or b"")[:size]
         self._pending.pop(name, None)
 
--- a/auburnway/storage/wal.py
+++ b/auburnway/storage/wal.py
@@ -104,6 +104,16 @@
         self.size_bytes = offset
         return LogContent(hard_state, tuple(entries), truncated_bytes)
 
+    def reload(self) -> LogContent:
+        """Cuts off what a failed append left, and reads the log again.
+
+        Raises:
+          DiskFault: The file could not be cut, or as for `load`.
+        """
+        # Bytes whose sync failed may be read although they are not on disk.
+        self._disk.truncate(self.file, self.size_bytes)
+        return self.load()
+
     def append(
         self,
         hard_state: records.HardState | None,
@@ -117,7 +127,7 @@
 
         Raises:
           DiskFault: The write or the sync failed; the log must not be used
-            afterwards.
+            before `reload`.
         """
         frame = frames.encode(
             self._sequence, _encode_payload(hard_state, entries)
