Check heartbeats and rows strictly, and end what raises at once

Port 99999 or 0, ports of 5,000 digits, line breaks and ids that add headers were acknowledged too.

Cause: the decoder asked for a colon and str.isdigit; rows from other processes were trusted, and one bad row ended the whole message. Class of fault: words from outside that are checked by their type only, and callbacks whose exceptions leave a request to its deadline.

An exception in a request or a reply ends it with a 500, a 502 or the next attempt. The test platform fails if a process logged an unexpected exception.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -14,6 +14,8 @@
 import dataclasses
 import enum
 import hashlib
+import ipaddress
+import re
 import typing
 
 # Retention of tombstones. A heartbeat that a partition delayed arrives well
@@ -21,6 +23,16 @@
 TOMBSTONE_MS = 120_000.0
 
 
+# Greatest integer that all JSON implementations represent exactly.
+MAX_INTEGER = (1 << 53) - 1
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 3_600_000
+
+# Names go into HTTP headers and logs.
+_NAME = re.compile(r"[!-~]{1,200}\Z")
+_PORT = re.compile(r"[0-9]{1,5}\Z")
+
+
 class State(enum.Enum):
     """State that a backend server reports."""
 
@@ -63,6 +75,31 @@
         return (self.started_ms, self.sequence)
 
 
+def check(row: Row) -> Row:
+    """Returns the row if it describes a server that can be used.
+
+    Raises:
+      TypeError, ValueError: A field has a wrong type or value.
+    """
+    for name in ("server_id", "service", "data_center"):
+        if not _NAME.match(getattr(row, name)):
+            raise ValueError(f"{name} is not a name")
+    for name, low, high in (
+        ("started_ms", 0, MAX_INTEGER),
+        ("sequence", 0, MAX_INTEGER),
+        ("slots", 1, MAX_SLOTS),
+        ("cold_ms", 0, MAX_COLD_MS),
+    ):
+        value = getattr(row, name)
+        if type(value) is not int or not low <= value <= high:
+            raise ValueError(f"{name} is not an integer of {low} to {high}")
+    host, _, port = row.address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not _PORT.match(port) or not 1 <= int(port) <= 65535:
+        raise ValueError("the port is not an integer of 1 to 65535")
+    return row
+
+
 def encode_row(row: Row) -> list[typing.Any]:
     """Returns the msgpack form of a row."""
     fields = [getattr(row, field.name) for field in dataclasses.fields(row)]
@@ -77,7 +114,24 @@
       TypeError, ValueError: The fields are not a row.
     """
     head, state, cold_ms = fields[:7], fields[7], fields[8]
-    return Row(*head, State(state), cold_ms)
+    return check(Row(*head, State(state), cold_ms))
+
+
+def decode_rows(
+    encoded: typing.Iterable[typing.Any],
+) -> tuple[tuple[Row, ...], tuple[str, ...]]:
+    """Decodes rows from another process, which may have another version.
+
+    Returns:
+      The rows, and the errors of those that cannot be used.
+    """
+    rows, problems = [], []
+    for fields in encoded:
+        try:
+            rows.append(decode_row(fields))
+        except (TypeError, ValueError, LookupError) as error:
+            problems.append(repr(error))
+    return tuple(rows), tuple(problems)
 
 
 class Table:
--- a/auburnway/core/server_table_test.py
+++ b/auburnway/core/server_table_test.py
@@ -146,3 +146,26 @@
     table = table_of(*merged)
     fresh = table_of(*table.rows())
     assert table.digest() == fresh.digest()
+
+
+@given(
+    st.lists(
+        st.lists(
+            st.none()
+            | st.integers()
+            | st.text(max_size=20)
+            | st.binary(max_size=5),
+            max_size=10,
+        )
+        | st.none()
+        | st.integers(),
+        max_size=4,
+    )
+)
+def test_odd_rows_are_left_out(encoded):
+    # Guards against a control instance of another version whose rows end the
+    # news of all others.
+    good = server_table.encode_row(ROW)
+    rows, problems = server_table.decode_rows([*encoded, good])
+    assert rows[-1] == ROW
+    assert len(rows) + len(problems) == len(encoded) + 1
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -262,7 +262,11 @@
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows of backend servers."""
         now_ms = self._clock.now_ms()
-        decoded = map(server_table.decode_row, rows.rows)
+        decoded, problems = server_table.decode_rows(rows.rows)
+        if problems:
+            loguru.logger.bind(count=len(problems)).warning(
+                "ignored rows of backend servers: {}", problems[0]
+            )
         changed = [row for row in decoded if self.table.put(row, now_ms)]
         if len(changed) > MAX_LOGGED_ROWS:
             loguru.logger.bind(count=len(changed)).info(
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -229,6 +229,15 @@
     # Requests.
 
     def _on_request(self, request: web_server.Request) -> None:
+        try:
+            self._process(request)
+        except Exception:
+            # The request may have been sent, so nothing is promised of it.
+            loguru.logger.exception("unexpected exception of a request")
+            failed = client_request_lib.refusal(500, "internal_error")
+            self._answer(request, None, failed)
+
+    def _process(self, request: web_server.Request) -> None:
         refused = self._refuse_early(request)
         if refused is not None:
             self._answer(request, None, refused)
--- a/auburnway/gateway/sub_request.py
+++ b/auburnway/gateway/sub_request.py
@@ -276,6 +276,14 @@
         self._timer = dispatcher.timers.after(HEDGE_RECHECK_MS, self._hedge)
 
     def _on_reply(self, send: Send, reply: web_client.Reply) -> None:
+        try:
+            self._process_reply(send, reply)
+        except Exception:
+            loguru.logger.exception("unexpected exception of a reply")
+            if self.outcome is None and not self._has_open_sends():
+                self._end_without_reply()
+
+    def _process_reply(self, send: Send, reply: web_client.Reply) -> None:
         dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
         send.is_done = True
         verdict = dispatcher.classify(reply)
--- a/auburnway/net/stream.py
+++ b/auburnway/net/stream.py
@@ -17,6 +17,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import connecting
 from auburnway.net import listening
 from auburnway.net import socket_set
 
@@ -239,10 +240,9 @@
     def _dial(self) -> None:
         if self._is_closed:
             return
-        host, _, port = self.address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _configure(sock)
-        connect_error = sock.connect_ex((host, int(port)))
+        connect_error = connecting.start(sock, self.address)
         if connect_error not in (0, errno.EINPROGRESS):
             sock.close()
             self._redial()
--- a/auburnway/net/web_client.py
+++ b/auburnway/net/web_client.py
@@ -16,6 +16,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import connecting
 from auburnway.net import exchange
 from auburnway.net import reply_reader
 from auburnway.net import socket_set
@@ -123,14 +124,13 @@
         # Set when a reply to a different request was read.
         self._skipped_reply = False
         self._reader = reply_reader.ReplyReader(pool.limits)
-        host, _, port = address.rpartition(":")
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
-        self.connect_error = self.sock.connect_ex((host, int(port)))
+        self.connect_error = connecting.start(self.sock, address)
 
     @property
     def held_bytes(self) -> int:
--- a/auburnway/platform/documents.py
+++ b/auburnway/platform/documents.py
@@ -153,23 +153,20 @@
     """
     try:
         data = orjson.loads(document)
-        host, _, port = _non_empty_string(data["Address"]).rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"{data['Address']!r} is no address")
         row = server_table.Row(
             server_id=_non_empty_string(server_id),
             started_ms=_integer(data.get("born", 0)),
             sequence=_integer(data["Sequence"]),
             service=_non_empty_string(data["Service"]),
-            address=data["Address"],
+            address=_non_empty_string(data["Address"]),
             data_center=_non_empty_string(data["Zone"]),
             slots=max(_integer(data["Slots"]), 1),
             state=_STATES[_non_empty_string(data["State"])],
             cold_ms=_integer(data.get("ColdRemainingMs", 0)),
         )
+        return result.Success(server_table.check(row))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return result.Failure(BadHeartbeat(repr(error), server_id))
-    return result.Success(row)
+        return result.Failure(BadHeartbeat(repr(error), repr(server_id)[:200]))
 
 
 DIALECT = dialect_lib.Dialect(
--- a/auburnway/platform/documents_test.py
+++ b/auburnway/platform/documents_test.py
@@ -122,13 +122,87 @@
         {"Slots": "3"},
         {"born": "today"},
         {"Service": ""},
+        {"Address": "10.0.0.9:99999"},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "10.0.0.9:" + "8" * 5000},
+        {"Address": "10.0.0.9:\u00b2"},
+        {"Address": "10.0.0.9:80\r\nX: y"},
+        {"Address": "10.0.0.\x009:80"},
+        {"Address": "300.0.0.9:80"},
+        {"Address": "host.example:80"},
+        {"Service": "a b"},
+        {"Zone": "z\r\n"},
+        {"Sequence": 2**64 - 1},
+        {"Sequence": -1},
+        {"Slots": 2**40},
+        {"born": 2**63},
+        {"ColdRemainingMs": 1e300},
     ],
 )
 def test_invalid_heartbeat_is_refused(change):
+    # Guards against a server that all entries are told of and none can use.
     body = json.dumps({**HEARTBEAT, **change}).encode()
     assert not pipeline.is_successful(documents.decode_heartbeat("i", body))
 
 
+@pytest.mark.parametrize(
+    "server_id", ["", "a\r\nX: y", "a b", "\x00", "i" * 999]
+)
+def test_server_id_that_no_header_can_hold_is_refused(server_id):
+    # Guards against headers that a server adds to the requests of others.
+    body = json.dumps(HEARTBEAT).encode()
+    decoded = documents.decode_heartbeat(server_id, body)
+    assert not pipeline.is_successful(decoded)
+
+
+_ODD_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=30),
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(st.text(max_size=5), children, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(HEARTBEAT)), _ODD_VALUES))
+def test_odd_heartbeats_raise_nothing(changes):
+    # Guards against an exception that ends the call of another writer.
+    body = json.dumps({**HEARTBEAT, **changes}).encode()
+    decoded = documents.decode_heartbeat("i", body)
+    if pipeline.is_successful(decoded):
+        row = decoded.unwrap()
+        assert server_table.decode_row(server_table.encode_row(row)) == row
+
+
+@pytest.mark.parametrize("depth", [100, 2_000, 100_000])
+def test_deeply_nested_documents_are_refused(depth):
+    # Guards against a decoder that recurses until the process ends.
+    body = b"[" * depth + b"]" * depth
+    assert not pipeline.is_successful(documents.decode_heartbeat("i", body))
+    assert not pipeline.is_successful(documents.decode_configuration(body))
+    nested = b'{"Sequence":' * depth + b"1" + b"}" * depth
+    assert not pipeline.is_successful(documents.decode_heartbeat("i", nested))
+
+
+@given(
+    st.sampled_from(("Routes", "Services", "Limits", "Version")), _ODD_VALUES
+)
+def test_odd_configurations_raise_nothing(field, value):
+    # Guards against an exception that ends the call of an operator.
+    data = testing.configuration(7)
+    data[field] = value
+    documents.decode_configuration(json.dumps(data).encode())
+    data = testing.configuration(7)
+    for item in data["Routes"]:
+        item[next(iter(item))] = value
+    documents.decode_configuration(json.dumps(data).encode())
+
+
 def test_digest_does_not_depend_on_formatting():
     # A client that resends a configuration may format it differently.
     data = testing.configuration(7)
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -389,10 +389,19 @@
         return wait_until(attempt)
 
     def close(self):
-        for machine in (*self.entries, *self.controls):
+        """Ends all processes; fails if one logged an unexpected exception."""
+        machines = (*self.entries, *self.controls)
+        for machine in machines:
             machine.kill()
         for backend in self.backends:
             backend.close()
+        exceptions = [
+            line
+            for machine in machines
+            for line in machine.log_path.read_text().splitlines()
+            if "unexpected exception" in line or "uncaught exception" in line
+        ]
+        assert not exceptions, exceptions[0]
 
 
 def configuration(version, timeout_ms=1500):
--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -291,3 +291,28 @@
     slow.delay_s = 0.0
     assert results[0][0] == 200
     assert platform.entries[1].process.wait(10) == 0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Address": "127.0.0.1:99999"},
+        {"Address": "127.0.0.\x001:80"},
+        {"Address": "127.0.0.1:80\r\nX: y"},
+        {"Sequence": 2**64 - 1},
+        {"Slots": {"a": [[[[]]]]}},
+    ],
+)
+def test_odd_server_of_another_writer_gets_no_request(platform, changes):
+    # Guards against an entry that tries a server at an unusable address and
+    # leaves the request without an answer.
+    odd = testing.Backend("solo-odd", "solo")
+    platform.backends.append(odd)
+    try:
+        assert platform.send_heartbeat(odd, **changes) == 400
+        for n in range(10):
+            status = platform.request("/one/x", Request_Id=f"o{n}")[0]
+            assert status == 200
+    finally:
+        odd.close()
+        platform.backends.remove(odd)
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -339,11 +339,14 @@
     def on_rows(self, rows: messages.Rows) -> None:
         """Merges rows and forwards the changed rows to the entries."""
         now_ms = self._clock.now_ms()
-        changed_ids = []
-        for fields in rows.rows:
-            row = server_table.decode_row(fields)
-            if self.table.put(row, now_ms):
-                changed_ids.append(row.server_id)
+        decoded, problems = server_table.decode_rows(rows.rows)
+        if problems:
+            loguru.logger.bind(count=len(problems)).warning(
+                "ignored rows of backend servers: {}", problems[0]
+            )
+        changed_ids = [
+            row.server_id for row in decoded if self.table.put(row, now_ms)
+        ]
         if changed_ids:
             self._push_rows(tuple(changed_ids), to_controls=False)
 
--- a/auburnway/registrar/table_file.py
+++ b/auburnway/registrar/table_file.py
@@ -19,13 +19,15 @@
 
 def load(disk: disk_lib.Disk) -> tuple[server_table.Row, ...]:
     """Returns the rows of the copy; empty if it is absent or corrupt."""
-    try:
-        return tuple(
-            map(server_table.decode_row, copy_writer.read(disk, FILE) or ())
-        )
-    except (TypeError, ValueError, LookupError) as error:
-        loguru.logger.warning("cannot decode the copy of the table: {}", error)
+    encoded = copy_writer.read(disk, FILE)
+    if not isinstance(encoded, list):
         return ()
+    rows, problems = server_table.decode_rows(encoded)
+    if problems:
+        loguru.logger.bind(count=len(problems)).warning(
+            "ignored rows of the copy of the table: {}", problems[0]
+        )
+    return rows
 
 
 class TableSaver:
