Drain a backend server that says in a reply that it leaves

Change: the record of a reply holds it; the entry drains the row at once and sends it to all control instances, which tell the other entries. A drain of the same start counts even if a heartbeat with a greater sequence came first. The last server of a shard is asked for 2 s more by the entry that heard it.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -183,9 +183,18 @@
         """
         current = self._rows.get(row.server_id)
         if current is not None:
+            is_same_start = row.started_ms == current.started_ms
+            if (
+                is_same_start
+                and row.state is State.DRAINING
+                and current.state is State.READY
+                and row.version < current.version
+            ):
+                # A server says that it drains in its replies too, which have
+                # no sequence, so a later heartbeat may have come first.
+                row = dataclasses.replace(current, state=State.DRAINING)
             if row.version < current.version:
                 return False
-            is_same_start = row.started_ms == current.started_ms
             if is_same_start and current.state is State.ENDED:
                 return False
             # A draining server does not become ready again without a restart.
--- a/auburnway/core/server_table_test.py
+++ b/auburnway/core/server_table_test.py
@@ -169,3 +169,11 @@
     rows, problems = server_table.decode_rows([*encoded, good])
     assert rows[-1] == ROW
     assert len(rows) + len(problems) == len(encoded) + 1
+
+
+def test_news_of_a_drain_counts_after_a_later_heartbeat():
+    # Guards against a server that said in a reply that it leaves, and whose
+    # heartbeat with a greater sequence had said before that it is ready.
+    table = table_of(make_row(sequence=7), make_row(sequence=5, state=DRAINING))
+    assert table.servers("s") == ()
+    assert table.get("i-1").sequence == 7
--- a/auburnway/gateway/dialect.py
+++ b/auburnway/gateway/dialect.py
@@ -32,6 +32,7 @@
         separated by commas.
       limit: Requests per second that a backend server takes from all entries
         together, as a decimal number.
+      leaving: "1" in each reply of a backend server that is about to stop.
       part_signatures: Signatures of the parts of a merged answer.
       missing_parts: Number of shards that are missing from a merged answer.
     """
@@ -47,5 +48,6 @@
     not_run: bytes = b"x-not-started"
     load: bytes = b"x-load"
     limit: bytes = b"x-rate-limit"
+    leaving: bytes = b"x-leaving"
     part_signatures: bytes = b"x-part-signatures"
     missing_parts: bytes = b"x-missing-parts"
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -181,7 +181,7 @@
 
     def has_untried(self, service: str, tried: abc.Set[str]) -> bool:
         """Whether the table has a server that is not in `tried`."""
-        rows = self._feed.table.servers(service)
+        rows = self._rows(service)
         return any(row.server_id not in tried for row in rows)
 
     def has_room(
@@ -246,7 +246,7 @@
         limit = self._connection_limit(service)
         candidates = [
             self._candidate(row, limit, rank)
-            for row in self._feed.table.servers(service)
+            for row in self._rows(service)
             if row.server_id not in tried
         ]
         budget_fill = self.budget(service).remaining_share(now_ms)
@@ -254,6 +254,15 @@
             candidates, now_ms, base_ms, self._rng, budget_fill
         )
 
+    def _rows(self, service: str) -> abc.Sequence[server_table.Row]:
+        """Returns the servers of a service that may be sent requests.
+
+        If all have left, those that said so in a reply a moment ago are asked
+        until they stop to take requests.
+        """
+        rows = self._feed.table.servers(service)
+        return rows or self.gates.leaving_rows(service)
+
     def _candidate(
         self, row: server_table.Row, connection_limit: int, rank: int
     ) -> server_choice.Candidate:
@@ -353,3 +362,5 @@
                 report.load.running, report.load.waiting, self.now_ms()
             )
         self.gates.on_report(row, report)
+        if report.is_leaving:
+            self._feed.mark_leaving(row)
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import dataclasses
 import functools
 
 import loguru
@@ -280,6 +281,29 @@
                 state=row.state.value,
             ).info("backend server changed")
 
+    def mark_leaving(self, row: server_table.Row) -> None:
+        """Drains a server that has said in a reply that it leaves.
+
+        All control instances are told, which tell the other entries.
+        """
+        current = self.table.get(row.server_id)
+        if (
+            current is None
+            or current.started_ms != row.started_ms
+            or current.state is not server_table.State.READY
+        ):
+            return
+        drained = dataclasses.replace(
+            current, state=server_table.State.DRAINING
+        )
+        self.table.put(drained, self._clock.now_ms())
+        loguru.logger.bind(server=row.server_id, service=row.service).info(
+            "backend server says in a reply that it leaves"
+        )
+        news = messages.Rows((server_table.encode_row(drained),))
+        for address in self._dialers:
+            self._send(address, news)
+
     def on_heartbeat_state(self, heard: messages.Heard, address: str) -> None:
         """Records whether a control instance gets heartbeats of servers."""
         for server_id in heard.server_ids:
--- a/auburnway/gateway/server_gates.py
+++ b/auburnway/gateway/server_gates.py
@@ -9,6 +9,9 @@
 
 # A limit that has changed by less than this share is not logged again.
 LOGGED_CHANGE_SHARE = 0.2
+# Time for which the last server of a service gets requests after its first
+# reply that says that it leaves.
+LAST_USE_MS = 2_000.0
 # Rank of the most urgent requests.
 URGENT_RANK = 0
 
@@ -23,6 +26,7 @@
         self.limit_per_s: float | None = None
         self.logged_limit_per_s: float | None = None
         self.bucket: server_limit.Bucket | None = None
+        self.leaving_since_ms: float | None = None
 
 
 class ServerGates:
@@ -71,10 +75,29 @@
             ).warning("ignored headers of a backend server")
         gate = self._gates.get(_key(row))
         if gate is None:
-            if report.limit_per_s is None:
+            if report.limit_per_s is None and not report.is_leaving:
                 return
             gate = self._gates[_key(row)] = _Gate()
         self._set_limit(row, gate, report.limit_per_s)
+        if report.is_leaving and gate.leaving_since_ms is None:
+            gate.leaving_since_ms = self._now_ms()
+
+    def leaving_rows(self, service: str) -> tuple[server_table.Row, ...]:
+        """Returns the servers that said a moment ago that they leave."""
+        since_ms = self._now_ms() - LAST_USE_MS
+        rows = (
+            self._feed.table.get(server_id)
+            for (server_id, _), gate in self._gates.items()
+            if gate.leaving_since_ms is not None
+            and gate.leaving_since_ms > since_ms
+        )
+        return tuple(
+            row
+            for row in rows
+            if row is not None
+            and row.service == service
+            and row.state is server_table.State.DRAINING
+        )
 
     def _set_limit(
         self, row: server_table.Row, gate: _Gate, limit_per_s: float | None
--- a/auburnway/gateway/server_report.py
+++ b/auburnway/gateway/server_report.py
@@ -35,11 +35,13 @@
       load: Load of the server; None if it states none.
       limit_per_s: Requests per second that it takes from all entries together;
         None if it states no limit.
+      is_leaving: Whether it is about to stop and wants no new requests.
       invalid: Names of the headers whose values cannot be used.
     """
 
     load: Load | None = None
     limit_per_s: float | None = None
+    is_leaving: bool = False
     invalid: tuple[str, ...] = ()
 
 
@@ -67,7 +69,8 @@
     if limit_per_s is not None:
         limit_per_s = min(limit_per_s, MAX_LIMIT_PER_S)
     load = _load(reply.fields.get(dialect.load, b""))
-    return ServerReport(load, limit_per_s, tuple(invalid))
+    is_leaving = reply.fields.get(dialect.leaving, b"").strip() == b"1"
+    return ServerReport(load, limit_per_s, is_leaving, tuple(invalid))
 
 
 def _load(text: bytes) -> Load | None:
--- a/auburnway/platform/documents.py
+++ b/auburnway/platform/documents.py
@@ -178,6 +178,7 @@
     not_run=b"not-executed",
     load=b"server-load",
     limit=b"server-limit",
+    leaving=b"server-leaving",
     part_signatures=b"part-stamps",
     missing_parts=b"missing-parts",
 )
--- a/auburnway/platform/server_report_test.py
+++ b/auburnway/platform/server_report_test.py
@@ -109,3 +109,52 @@
     assert statuses.count(200) > 0.95 * len(statuses)
     arrivals_s = [t for t in server.arrivals_s if t > started_s + NOTICE_S]
     assert _most_in_a_span(arrivals_s, 4.0) <= 1.5 * 4.0 * limit_per_s + 5
+
+
+@pytest.mark.parametrize("hears_first", [True, False])
+def test_server_that_leaves_gets_no_request(platform, backend, hears_first):
+    # Guards against requests to a server that said in its replies that it
+    # leaves, at entries that heard it and at those that did not.
+    server = backend("solo-1")
+    server.started_ms += 1
+    platform.send_heartbeat(server)
+    server.advice = {"Server-Leaving": "1"}
+    if hears_first:
+        _send_for(platform, "/one/x", 1.0)
+    else:
+        testing.wait_until(
+            lambda: (
+                platform.request("/one/x", Request_Id=f"l{time.time_ns()}")
+                and "says in a reply that it leaves"
+                in platform.entries[0].log_path.read_text()
+            )
+        )
+        time.sleep(REPORT_S)
+    said_s = time.monotonic()
+    # A heartbeat that still says that it is ready must not undo it.
+    platform.send_heartbeat(server)
+    statuses = _send_for(platform, "/one/x", 3.0)
+    assert statuses.count(200) == len(statuses)
+    assert [t for t in server.arrivals_s if t > said_s] == []
+    server.advice = {}
+    server.started_ms += 1
+    platform.send_heartbeat(server)
+    _send_for(platform, "/one/x", 1.0)
+    assert server.arrivals_s[-1] > said_s
+
+
+def test_last_server_of_a_shard_serves_until_it_stops(platform, backend):
+    # Guards against a shard without any server while its last one still takes
+    # requests, and against requests to it later than that.
+    server = backend("sb-1")
+    server.advice = {"Server-Leaving": "1"}
+    platform.request("/all/x", Request_Id="la1")
+    said_s = time.monotonic()
+    _, headers, _ = platform.request("/all/x", Request_Id="la2")
+    assert headers["missing-parts"] == "0"
+    _send_for(platform, "/all/x", 5.0)
+    assert server.arrivals_s[-1] < said_s + 3.0
+    server.advice = {}
+    server.started_ms += 1
+    platform.send_heartbeat(server)
+    platform.request_until_success("/all/x")
