Send nothing to a backend server that asks for a pause

Change: the record of a reply holds the time; policy/server_pause.py, pure, keeps the server closed until then, with a random part, and returns with one request at a time. A single request that no server may be sent in time is refused at once as paused or rate_limited, with the time until one may be asked. Values that are no decimal number are ignored and logged, and times are cut at 600 s.

--- a/auburnway/gateway/client_request.py
+++ b/auburnway/gateway/client_request.py
@@ -198,10 +198,8 @@
     ) -> Answer:
         if sub_request.outcome is not attempts.Outcome.NOT_RUN:
             reason = "backend_server_lost"
-        elif sub_request.wait_ms:
-            reason = "rate_limited"
         else:
-            reason = "no_backend_server"
+            reason = sub_request.wait_reason or "no_backend_server"
         return _no_reply_answer(
             self._context.route,
             sub_request.may_have_run,
@@ -372,8 +370,12 @@
                 status = 504 if reason == "timed_out" else 502
                 answer = refusal(status, reason)
             else:
+                waiting = max(self._sub_requests, key=lambda s: s.wait_ms)
                 answer = _no_reply_answer(
-                    self._context.route, False, "no_backend_server"
+                    self._context.route,
+                    False,
+                    waiting.wait_reason or "no_backend_server",
+                    waiting.wait_ms,
                 )
             answer = dataclasses.replace(
                 answer, coverage=self._coverage, missing=missing
--- a/auburnway/gateway/dialect.py
+++ b/auburnway/gateway/dialect.py
@@ -33,6 +33,8 @@
       limit: Requests per second that a backend server takes from all entries
         together, as a decimal number.
       leaving: "1" in each reply of a backend server that is about to stop.
+      pause: Seconds for which a backend server that replies with status 503
+        wants no request from this entry.
       part_signatures: Signatures of the parts of a merged answer.
       missing_parts: Number of shards that are missing from a merged answer.
     """
@@ -49,5 +51,6 @@
     load: bytes = b"x-load"
     limit: bytes = b"x-rate-limit"
     leaving: bytes = b"x-leaving"
+    pause: bytes = b"retry-after"
     part_signatures: bytes = b"x-part-signatures"
     missing_parts: bytes = b"x-missing-parts"
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -254,6 +254,11 @@
             candidates, now_ms, base_ms, self._rng, budget_fill
         )
 
+    def wait_ms(self, row: server_table.Row, rank: int) -> float:
+        """Returns the time until a server may be sent a request, in ms."""
+        outstanding = len(self.stats(row).outstanding_since_ms)
+        return self.gates.wait_ms(row, rank, outstanding)
+
     def _rows(self, service: str) -> abc.Sequence[server_table.Row]:
         """Returns the servers of a service that may be sent requests.
 
@@ -274,7 +279,7 @@
             0.0 if is_same_data_center else self._settings.other_data_center_ms,
             self._feed.table.is_silent(row.server_id)
             or not self.pool.has_capacity(row.address),
-            self.gates.wait_ms(row, rank),
+            self.wait_ms(row, rank),
         )
 
     def _connection_limit(self, service: str) -> int:
@@ -337,6 +342,7 @@
         verdict = self.classify(reply)
         latency_ms = now_ms - send.sent_ms
         if verdict is attempts_lib.Verdict.SUCCESS:
+            self.gates.on_success(send.row)
             ratio = latency_ms / send.expected_ms
             stats.on_reply(send.sent_ms, now_ms, ratio)
             net_ms = ratio * self.base_ms(route)
--- a/auburnway/gateway/server_gates.py
+++ b/auburnway/gateway/server_gates.py
@@ -1,11 +1,14 @@
 """When this entry may send a request to each backend server."""
 
+import random
+
 import loguru
 
 from auburnway.core import server_table
 from auburnway.gateway import feed as feed_lib
 from auburnway.gateway import server_report
 from auburnway.policy import server_limit
+from auburnway.policy import server_pause
 
 # A limit that has changed by less than this share is not logged again.
 LOGGED_CHANGE_SHARE = 0.2
@@ -27,6 +30,7 @@
         self.logged_limit_per_s: float | None = None
         self.bucket: server_limit.Bucket | None = None
         self.leaving_since_ms: float | None = None
+        self.pause: server_pause.Pause | None = None
 
 
 class ServerGates:
@@ -42,6 +46,7 @@
         self._own_address = own_address
         self._feed = feed
         self._now_ms = now_ms
+        self._rng = random.Random(own_address)
         # Only of servers that have asked for something.
         self._gates: dict[_Key, _Gate] = {}
 
@@ -50,14 +55,47 @@
         """Number of servers that state a rate limit."""
         return sum(g.limit_per_s is not None for g in self._gates.values())
 
-    def wait_ms(self, row: server_table.Row, rank: int) -> float:
-        """Returns the time until a server may be sent a request, in ms."""
+    @property
+    def paused_count(self) -> int:
+        """Number of servers that want no request now."""
+        now_ms = self._now_ms()
+        return sum(_is_paused(gate, now_ms) for gate in self._gates.values())
+
+    def wait_ms(
+        self, row: server_table.Row, rank: int, outstanding: int
+    ) -> float:
+        """Returns the time until a server may be sent a request, in ms.
+
+        Args:
+          row: Row of the server.
+          rank: Rank of the request.
+          outstanding: Requests of this entry that it has not answered.
+        """
         gate = self._gates.get(_key(row))
-        if gate is None or gate.bucket is None:
+        if gate is None:
             return 0.0
         now_ms = self._now_ms()
-        gate.bucket.set_share(self._share(row, gate.limit_per_s), now_ms)
-        return gate.bucket.wait_ms(now_ms, rank == URGENT_RANK)
+        wait_ms = 0.0
+        if gate.pause is not None:
+            wait_ms = gate.pause.wait_ms(outstanding, now_ms)
+        if gate.bucket is not None:
+            gate.bucket.set_share(self._share(row, gate.limit_per_s), now_ms)
+            is_urgent = rank == URGENT_RANK
+            wait_ms = max(wait_ms, gate.bucket.wait_ms(now_ms, is_urgent))
+        return wait_ms
+
+    def wait_reason(self, row: server_table.Row) -> str:
+        """Returns why a server may not be sent a request now."""
+        gate = self._gates.get(_key(row))
+        if gate is not None and _is_paused(gate, self._now_ms()):
+            return "paused"
+        return "rate_limited"
+
+    def on_success(self, row: server_table.Row) -> None:
+        """Records a request that a server has answered."""
+        gate = self._gates.get(_key(row))
+        if gate is not None and gate.pause is not None:
+            gate.pause.on_success(row.slots, self._now_ms())
 
     def on_send(self, row: server_table.Row) -> None:
         """Counts a request that is sent now."""
@@ -75,12 +113,32 @@
             ).warning("ignored headers of a backend server")
         gate = self._gates.get(_key(row))
         if gate is None:
-            if report.limit_per_s is None and not report.is_leaving:
+            if (
+                report.limit_per_s is None
+                and not report.is_leaving
+                and not report.pause_ms
+            ):
                 return
             gate = self._gates[_key(row)] = _Gate()
         self._set_limit(row, gate, report.limit_per_s)
         if report.is_leaving and gate.leaving_since_ms is None:
             gate.leaving_since_ms = self._now_ms()
+        if report.pause_ms:
+            self._start_pause(row, gate, report.pause_ms)
+
+    def _start_pause(
+        self, row: server_table.Row, gate: _Gate, pause_ms: float
+    ) -> None:
+        now_ms = self._now_ms()
+        if gate.pause is None:
+            gate.pause = server_pause.Pause()
+        if not gate.pause.is_active(now_ms):
+            loguru.logger.bind(
+                server=row.server_id,
+                pause_ms=round(pause_ms),
+                is_cut=pause_ms > server_pause.MAX_PAUSE_MS,
+            ).info("backend server asks for a pause")
+        gate.pause.start(pause_ms, now_ms, self._rng)
 
     def leaving_rows(self, service: str) -> tuple[server_table.Row, ...]:
         """Returns the servers that said a moment ago that they leave."""
@@ -148,5 +206,9 @@
                 del self._gates[key]
 
 
+def _is_paused(gate: _Gate, now_ms: float) -> bool:
+    return gate.pause is not None and gate.pause.is_active(now_ms)
+
+
 def _key(row: server_table.Row) -> _Key:
     return (row.server_id, row.started_ms)
--- a/auburnway/gateway/server_report.py
+++ b/auburnway/gateway/server_report.py
@@ -36,12 +36,14 @@
       limit_per_s: Requests per second that it takes from all entries together;
         None if it states no limit.
       is_leaving: Whether it is about to stop and wants no new requests.
+      pause_ms: Time for which it wants no request from this entry; 0 for none.
       invalid: Names of the headers whose values cannot be used.
     """
 
     load: Load | None = None
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_ms: float = 0.0
     invalid: tuple[str, ...] = ()
 
 
@@ -70,7 +72,11 @@
         limit_per_s = min(limit_per_s, MAX_LIMIT_PER_S)
     load = _load(reply.fields.get(dialect.load, b""))
     is_leaving = reply.fields.get(dialect.leaving, b"").strip() == b"1"
-    return ServerReport(load, limit_per_s, is_leaving, tuple(invalid))
+    # With other statuses the header is meant for clients.
+    pause_s = number(dialect.pause) if reply.status == 503 else None
+    return ServerReport(
+        load, limit_per_s, is_leaving, 1000.0 * (pause_s or 0.0), tuple(invalid)
+    )
 
 
 def _load(text: bytes) -> Load | None:
--- a/auburnway/gateway/sub_request.py
+++ b/auburnway/gateway/sub_request.py
@@ -91,7 +91,8 @@
       reply: Reply that is used; None without a reply.
       outcome: Result of the sub-request; None until it has ended.
       wait_ms: Time until a server may be sent a request, if none could be sent
-        one before the deadline; else 0.
+        one in time; else 0.
+      wait_reason: Why none could be sent one; empty without a wait.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.reply: web_client.Reply | None = None
         self.outcome: attempts_lib.Outcome | None = None
         self.wait_ms = 0.0
+        self.wait_reason = ""
         self._dispatcher = dispatcher
         self._context = context
         self._on_done = on_done
@@ -187,10 +189,10 @@
                     CONNECTION_RECHECK_MS, self._send_unless_ended
                 )
             return
-        wait_ms = dispatcher.gates.wait_ms(row, self._context.route.rank)
+        wait_ms = dispatcher.wait_ms(row, self._context.route.rank)
         if wait_ms:
             if not self._has_open_sends():
-                self._wait_to_send(wait_ms)
+                self._wait_to_send(row, wait_ms)
             return
         if reason:
             self._log_extra_send(reason, row, now_ms)
@@ -212,13 +214,23 @@
         if self.outcome is None and not send.is_done:
             self._schedule_hedge()
 
-    def _wait_to_send(self, wait_ms: float) -> None:
-        """Waits for a server that is not to be sent a request yet."""
-        dispatcher = self._dispatcher
-        sent_ms = dispatcher.now_ms() + wait_ms
-        base_ms = dispatcher.base_ms(self._context.route)
-        if sent_ms + base_ms > self._context.deadline_ms:
+    def _wait_to_send(self, row: server_table.Row, wait_ms: float) -> None:
+        """Waits for a server that is not to be sent a request yet.
+
+        A single request that would miss its objective is refused at once with
+        the time to come back. A part of a query waits longer, because it was
+        asked only if the answer needs it.
+        """
+        dispatcher, context = self._dispatcher, self._context
+        answered_ms = (
+            dispatcher.now_ms() + wait_ms + dispatcher.base_ms(context.route)
+        )
+        is_single = context.route.gather is None
+        if answered_ms > (
+            context.target_ms if is_single else context.deadline_ms
+        ):
             self.wait_ms = wait_ms
+            self.wait_reason = dispatcher.gates.wait_reason(row)
             self._end_without_reply()
             return
         self._timer = dispatcher.timers.after(wait_ms, self._send_unless_ended)
--- a/auburnway/gateway/telemetry.py
+++ b/auburnway/gateway/telemetry.py
@@ -45,6 +45,11 @@
             "Backend servers that state a rate limit.",
             lambda: [(node.dispatcher.gates.limited_count, {})],
         )
+        gauge(
+            "backend.servers.paused",
+            "Backend servers that want no request now.",
+            lambda: [(node.dispatcher.gates.paused_count, {})],
+        )
         gauge(
             "table.requests",
             "Requests for the table of servers, as news did not arrive.",
--- a/auburnway/platform/server_report_test.py
+++ b/auburnway/platform/server_report_test.py
@@ -158,3 +158,23 @@
     server.started_ms += 1
     platform.send_heartbeat(server)
     platform.request_until_success("/all/x")
+
+
+def test_server_that_asks_for_a_pause_gets_none_until_then(platform, backend):
+    # Guards against requests within the time for which a server wants nothing
+    # from an entry that it has told, and against all entries at once after it.
+    server = backend("solo-2")
+    server.rejects = True
+    server.advice = {"Retry-After": "3"}
+    before = len(server.arrivals_s)
+    _send_for(platform, "/one/x", 1.0)
+    refused_s = server.arrivals_s[-1]
+    count = len(server.arrivals_s)
+    assert 0 < count - before <= 3 * ENTRIES
+    server.rejects = False
+    server.advice = {}
+    statuses = _send_for(platform, "/one/x", 5.0)
+    assert statuses.count(200) == len(statuses)
+    returns_s = server.arrivals_s[count:]
+    assert returns_s[0] > refused_s + 2.0
+    assert [t for t in returns_s if t < refused_s + 2.5] == []
