Play limits, pauses and leaving servers in the soak

Reports of servers are drawn among the other faults; the limit is checked over each span of 4 s in which no entry was restarted, killed or frozen.

--- a/auburnway/soak/checks.py
+++ b/auburnway/soak/checks.py
@@ -11,6 +11,12 @@
 # Seconds after the acknowledgement of its drain from which a backend server
 # must get no new request.
 DRAIN_GRACE_S = 3.0
+# Rate limits are checked over spans of this length, and hold this long after
+# they are stated first.
+LIMIT_SPAN_S = 4.0
+LIMIT_NOTICE_S = 4.0
+# Time after its restart in which an entry may not know a limit yet.
+LIMIT_RESTART_S = 4.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +78,23 @@
     ended_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """A rate limit that a backend server stated.
+
+    Attributes:
+      limit_per_s: Requests per second from all entries together.
+      start_s: Time from which its replies stated it, by the monotonic clock.
+      end_s: Time until which they did.
+      arrivals_s: Times of the requests that arrived.
+    """
+
+    limit_per_s: float
+    start_s: float
+    end_s: float
+    arrivals_s: tuple[float, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Observations:
     """All observations of a soak run.
@@ -89,6 +112,8 @@
       max_gathered_records: Maximum number of records of a gathered answer.
       fault_spans: Periods in which an entry was killed or frozen, each as
         entry index, start and end.
+      restart_spans: Periods in which an entry was stopped and started again.
+      limits: Rate limits that backend servers stated.
     """
 
     calls: tuple[Call, ...]
@@ -103,6 +128,8 @@
     shards: tuple[str, ...] = ()
     max_gathered_records: int = 0
     fault_spans: tuple[tuple[int, float, float], ...] = ()
+    restart_spans: tuple[tuple[int, float, float], ...] = ()
+    limits: tuple[Limit, ...] = ()
 
 
 def violations(observations: Observations) -> tuple[str, ...]:
@@ -113,6 +140,7 @@
         *_check_drains(observations),
         *_check_configuration_reads(observations),
         *_check_cut_off(observations),
+        *_check_limits(observations),
     )
 
 
@@ -220,3 +248,27 @@
         )
         if not has_entry_fault:
             yield f"{call.request_id}: got no answer from entry {call.entry}"
+
+
+def _check_limits(observations: Observations):
+    spans = (*observations.fault_spans, *observations.restart_spans)
+    for limit in observations.limits:
+        for start_s in limit.arrivals_s:
+            end_s = start_s + LIMIT_SPAN_S
+            is_stated = (
+                start_s >= limit.start_s + LIMIT_NOTICE_S
+                and end_s <= limit.end_s
+            )
+            is_disturbed = any(
+                span_start_s < end_s and start_s < span_end_s + LIMIT_RESTART_S
+                for _, span_start_s, span_end_s in spans
+            )
+            if not is_stated or is_disturbed:
+                continue
+            count = sum(start_s <= t <= end_s for t in limit.arrivals_s)
+            allowed = 1.5 * LIMIT_SPAN_S * limit.limit_per_s + 5
+            if count > allowed:
+                yield (
+                    f"a limit of {limit.limit_per_s}/s: {count} requests in"
+                    f" {LIMIT_SPAN_S} s, {allowed} are allowed"
+                )
--- a/auburnway/soak/checks_test.py
+++ b/auburnway/soak/checks_test.py
@@ -114,3 +114,16 @@
     assert violations_with(calls=(call,), fault_spans=((0, 1.5, 3.0),)) == ()
     assert violations_with(calls=(call,), fault_spans=((1, 1.5, 3.0),))
     assert violations_with(calls=(call,), fault_spans=((0, 2.5, 3.0),))
+
+
+def _limited(count, restart_s=None):
+    arrivals_s = tuple(10.0 + n * 0.05 for n in range(count))
+    limit = checks.Limit(2.0, 1.0, 30.0, arrivals_s)
+    spans = () if restart_s is None else ((0, restart_s, restart_s + 0.5),)
+    return violations_with(limits=(limit,), restart_spans=spans)
+
+
+def test_requests_beyond_a_stated_limit():
+    assert len(_limited(18)) == 1
+    assert _limited(17) == ()
+    assert _limited(18, restart_s=9.0) == ()
--- a/auburnway/soak/environment.py
+++ b/auburnway/soak/environment.py
@@ -31,6 +31,12 @@
 # server.
 DRAIN_STOP_DELAY_S = checks.DRAIN_GRACE_S + 0.5
 STOP_TIMEOUT_S = 8.0
+LIMIT_PER_S = 3.0
+REPORT_HEADERS = {
+    "limit": {"Server-Limit": str(LIMIT_PER_S)},
+    "pause": {"Retry-After": "1.5"},
+    "leaving": {"Server-Leaving": "1"},
+}
 FAULTY_REPLIES = {
     "endless_head": testing.FaultyReply(
         testing.REPLY_HEAD + b"A: ", b"a" * 65536
@@ -106,6 +112,8 @@
         id.
       fault_spans: Periods in which an entry was killed or frozen, each as
         entry index, start and end.
+      restart_spans: Periods of planned restarts of entries, in the same form.
+      limits: Rate limits that backend servers stated.
       servers: Current backend servers; a fault addresses them by index.
     """
 
@@ -121,6 +129,8 @@
         self.failures: list[str] = []
         self.drains: dict[str, float] = {}
         self.fault_spans: list[tuple[int, float, float]] = []
+        self.restart_spans: list[tuple[int, float, float]] = []
+        self.limits: list[checks.Limit] = []
         self._folder = folder
         self._server_count = 0
         self._locks = {
@@ -221,7 +231,10 @@
         A planned stop must not cut off requests.
         """
         with self._locks[(role, index)]:
+            start_s = time.monotonic()
             yield self.machine(role, index)
+            if role == "entry":
+                self.restart_spans.append((index, start_s, time.monotonic()))
 
     def restart_control(self, index: int, with_disk: bool) -> None:
         """Restarts a control instance that was killed.
@@ -282,6 +295,8 @@
             SERVICES[1:],
             MAX_GATHERED_RECORDS,
             tuple(self.fault_spans),
+            tuple(self.restart_spans),
+            tuple(self.limits),
         )
 
 
@@ -377,6 +392,27 @@
     backend.faulty_reply = None
 
 
+@_run_fault.register
+def _(fault: plan.Report, environment: Environment) -> None:
+    backend = environment.servers[fault.index].backend
+    start_s = time.monotonic()
+    backend.advice = REPORT_HEADERS[fault.form]
+    backend.rejects = fault.form == "pause"
+    time.sleep(fault.for_s)
+    backend.advice, backend.rejects = {}, False
+    end_s = time.monotonic()
+    if fault.form == "leaving":
+        # Only a new start takes requests again.
+        backend.started_ms += 1
+    if fault.form == "limit":
+        arrivals_s = tuple(
+            t for t in backend.arrivals_s if start_s <= t <= end_s
+        )
+        environment.limits.append(
+            checks.Limit(LIMIT_PER_S, start_s, end_s, arrivals_s)
+        )
+
+
 @_run_fault.register
 def _(fault: plan.Drain, environment: Environment) -> None:
     environment.replace_server(fault.index)
--- a/auburnway/soak/plan.py
+++ b/auburnway/soak/plan.py
@@ -24,6 +24,8 @@
     "cut_head",
     "cut_body",
 )
+# What a backend server may say of itself in its replies.
+REPORT_FORMS = ("limit", "pause", "leaving")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,6 +115,21 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """Headers by which a backend server asks for less work for `for_s`.
+
+    Attributes:
+      index: Index of the backend server.
+      form: One of `REPORT_FORMS`.
+      for_s: Duration of the fault.
+    """
+
+    index: int
+    form: str
+    for_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Drain:
     """Drain of a backend server, which a new server replaces."""
@@ -135,6 +152,7 @@
     | LinkFault
     | Reject
     | SendFaulty
+    | Report
     | Drain
     | Change
 )
@@ -169,6 +187,7 @@
         *_entry_faults(rng, end_s, entries),
         *_server_faults(rng, end_s, servers),
         *_faulty_replies(rng, end_s, servers),
+        *_reports(rng, end_s, servers),
     ]
     return tuple(sorted(faults, key=lambda timed_fault: timed_fault.at_s))
 
@@ -256,3 +275,17 @@
         )
         for at_s in _random_times(rng, end_s, 0.5, 4.0)
     ]
+
+
+def _reports(rng, end_s, count):
+    return [
+        TimedFault(
+            at_s,
+            Report(
+                rng.randrange(count),
+                rng.choice(REPORT_FORMS),
+                rng.uniform(1.0, 9.0),
+            ),
+        )
+        for at_s in _random_times(rng, end_s, 1.0, 6.0)
+    ]
