Reset connections of the relay without a proper end first

Trace: server solo-4 sent bodies without a length, a byte each 100 ms, from 6.40 s on; the link fault reset at 7.36 s ended all six streams, and the entry delivered them 0.05 s later. Relay.reset called shutdown before the sockets were closed with a reset, so the entry saw a proper end, which completes a body without a length. The copying threads now close the sockets, whose linger time is 0. test_reset_is_no_proper_end_of_the_stream failed before.

--- a/auburnway/faults/relay.py
+++ b/auburnway/faults/relay.py
@@ -37,6 +37,7 @@
         self.drops_replies = False
         self.delay_s = 0.0
         self._sockets: set[socket.socket] = set()
+        self._reset_sockets: set[socket.socket] = set()
         self._is_closed = False
         self._threads: list[threading.Thread] = []
         self._start(self._accept)
@@ -51,17 +52,19 @@
         self._stack.close()
 
     def reset(self) -> None:
-        """Resets all open connections."""
+        """Resets all open connections, within `POLL_S`."""
         for open_socket in tuple(self._sockets):
             try:
                 linger = struct.pack("ii", 1, 0)
                 open_socket.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, linger
                 )
-                open_socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 # The connection is already closed.
                 continue
+            # The copying threads close it. A shutdown would end the stream
+            # properly first, which completes a reply without a length.
+            self._reset_sockets.add(open_socket)
 
     def _start(self, function, *arguments) -> None:
         thread = threading.Thread(target=function, args=arguments, daemon=True)
@@ -94,10 +97,12 @@
             try:
                 data = source.recv(CHUNK_BYTES)
             except TimeoutError:
+                if source in self._reset_sockets:
+                    break
                 continue
             except OSError:
                 break
-            if not data:
+            if not data or source in self._reset_sockets:
                 break
             if getattr(self, drops_attribute):
                 # A stream cannot continue after a gap, so the connection
@@ -113,4 +118,5 @@
                 break
         for open_socket in (source, sink):
             self._sockets.discard(open_socket)
+            self._reset_sockets.discard(open_socket)
             open_socket.close()
