--- a/auburnway/admin/main_test.py
+++ b/auburnway/admin/main_test.py
@@ -304,6 +304,18 @@
     assert "unreachable" in out and "restore a majority" in err
 
 
+def test_status_counts_the_losses_that_are_survived():
+    # Guards against an operator who replaces a machine while the next loss
+    # would end control.
+    def voter(last_heard_ms, role="voter"):
+        return {"role": role, "last_heard_ms": last_heard_ms}
+
+    three = [voter("0"), voter("80"), voter("90")]
+    assert operations.survivable_losses(three) == 1
+    lost = [*three, voter("60000"), voter("20", "learner")]
+    assert operations.survivable_losses(lost) == 0
+
+
 def test_audit_reads_all_pages_and_finds_a_changed_row(operator, control):
     operator("apply", "FILE")
     for name in ("s1", "s2", "s3"):
--- a/auburnway/admin/operations.py
+++ b/auburnway/admin/operations.py
@@ -21,7 +21,9 @@
 from auburnway.core import clock as clock_lib
 from auburnway.core import configuration as configuration_lib
 from auburnway.core import errors
+from auburnway.core import member_set
 from auburnway.core import note as note_lib
+from auburnway.core import raft_records
 from auburnway.rpc import control_pb2
 
 Outcome = outcome_lib.Outcome
@@ -289,6 +291,21 @@
     return text, outcome_lib.from_errors(refusals) if refusals else None
 
 
+def survivable_losses(voters: abc.Iterable[render.JsonObject]) -> int:
+    """Returns how many voters may still be lost, as the leader sees it.
+
+    Args:
+      voters: Rows of `voters` in the leader's status.
+    """
+    voters = [row for row in voters if row["role"] == "voter"]
+    heard = [
+        row
+        for row in voters
+        if 0 <= int(row["last_heard_ms"]) <= raft_records.ELECTION_MAX_MS
+    ]
+    return member_set.majority_margin(len(voters), len(heard))
+
+
 def status(context: Context) -> Outcome:
     """Shows control instances, entries and backend servers."""
     settings = context.settings
@@ -334,6 +351,9 @@
     sections = [render.control(control)]
     if newest_leader is not None:
         sections.append(render.voters(newest_leader["voters"]))
+        losses = survivable_losses(newest_leader["voters"])
+        data["survivable_losses"] = losses
+        sections.append(f"voters that may still be lost: {losses}")
     sections.append(render.entries(entries))
     sections.append(render.backend_servers(servers))
     if not has_quorum:
--- a/auburnway/core/member_set.py
+++ b/auburnway/core/member_set.py
@@ -52,7 +52,12 @@
     """
     voters = [state for state in states if state.member.voter]
     responsive = [v for v in voters if v.silent_ms <= silent_limit_ms]
-    return len(responsive) - (len(voters) // 2 + 1)
+    return majority_margin(len(voters), len(responsive))
+
+
+def majority_margin(voter_count: int, responsive_count: int) -> int:
+    """Returns how many responsive voters there are beyond a majority."""
+    return responsive_count - (voter_count // 2 + 1)
 
 
 def next_members(
