Send no waiting part of a query that must fail

Found in review: a part that waits for its server's limit was sent later although the other parts were lost already. stop_retrying ended only parts that had been sent. test_part_that_waits_is_not_sent_for_an_answer_that_must_fail failed before.

--- a/auburnway/gateway/server_gates_test.py
+++ b/auburnway/gateway/server_gates_test.py
@@ -5,6 +5,8 @@
 import loguru
 import pytest
 
+from auburnway.core import route_table
+from auburnway.gateway import server_report
 from auburnway.gateway import testing
 from auburnway.net import web_client
 
@@ -152,3 +154,22 @@
     assert "ignored headers of a backend server" in [
         line["message"] for line in lines
     ]
+
+
+def test_part_that_waits_is_not_sent_for_an_answer_that_must_fail():
+    # Guards against requests of a limited server that are spent on a query
+    # whose other parts are lost.
+    shards = ("a", "b")
+    gather = route_table.Gather(shards, 3, 1.0)
+    harness = testing.GatewayHarness(shards, servers=1, gather=gather)
+    harness.dispatcher.gates.on_report(
+        testing.row("a", 0), server_report.ServerReport(limit_per_s=6.0)
+    )
+    for _ in range(4):
+        harness.dispatcher.gates.on_send(testing.row("a", 0))
+    harness.gather()
+    assert harness.sent_to("a") == []
+    harness.lose_connection(harness.sent_to("b")[0])
+    harness.advance(999)
+    assert harness.sent_to("a") == []
+    assert harness.answers[0].status in (502, 503)
--- a/auburnway/gateway/sub_request.py
+++ b/auburnway/gateway/sub_request.py
@@ -126,6 +126,8 @@
         )
         self._sends: list[Send] = []
         self._may_send_again = True
+        # Whether it waits until a server may be sent a request.
+        self._is_waiting = False
         self._timer: timers_lib.Timer | None = None
 
     @property
@@ -161,10 +163,12 @@
     def stop_retrying(self) -> None:
         """Sends no more hedges and retries; open sends continue.
 
-        Without an open send the sub-request ends now.
+        Without an open send the sub-request ends now, unless it was not
+        started.
         """
         self._may_send_again = False
-        if self.outcome is None and self._sends and not self._has_open_sends():
+        was_started = bool(self._sends) or self._is_waiting
+        if self.outcome is None and was_started and not self._has_open_sends():
             self._end_without_reply()
 
     def _send(self, reason: str = "") -> None:
@@ -233,6 +237,7 @@
             self.wait_reason = dispatcher.gates.wait_reason(row)
             self._end_without_reply()
             return
+        self._is_waiting = True
         self._timer = dispatcher.timers.after(wait_ms, self._send_unless_ended)
 
     def _log_extra_send(
@@ -254,7 +259,7 @@
         ).info("a request is sent again")
 
     def _send_unless_ended(self) -> None:
-        self._timer = None
+        self._timer, self._is_waiting = None, False
         if self.outcome is None:
             self._send()
 
