Compute the share of a limit once per list of entries

The share of a limited server was worked out for each choice, with a hash of each entry where the limit is low. Unusable headers are logged once for each start of a server.

--- a/auburnway/gateway/server_gates.py
+++ b/auburnway/gateway/server_gates.py
@@ -29,6 +29,9 @@
         self.limit_per_s: float | None = None
         self.logged_limit_per_s: float | None = None
         self.bucket: server_limit.Bucket | None = None
+        # Share of the limit, and what it was computed from.
+        self.share = server_limit.NO_SHARE
+        self.share_inputs: tuple = ()
         self.leaving_since_ms: float | None = None
         self.pause: server_pause.Pause | None = None
 
@@ -49,6 +52,8 @@
         self._rng = random.Random(own_address)
         # Only of servers that have asked for something.
         self._gates: dict[_Key, _Gate] = {}
+        # Starts of servers whose unusable headers were logged.
+        self._logged_invalid: set[_Key] = set()
 
     @property
     def limited_count(self) -> int:
@@ -79,7 +84,7 @@
         if gate.pause is not None:
             wait_ms = gate.pause.wait_ms(outstanding, now_ms)
         if gate.bucket is not None:
-            gate.bucket.set_share(self._share(row, gate.limit_per_s), now_ms)
+            gate.bucket.set_share(self._share(row, gate), now_ms)
             is_urgent = rank == URGENT_RANK
             wait_ms = max(wait_ms, gate.bucket.wait_ms(now_ms, is_urgent))
         return wait_ms
@@ -107,7 +112,8 @@
         self, row: server_table.Row, report: server_report.ServerReport
     ) -> None:
         """Records what a reply of a server states."""
-        if report.invalid:
+        if report.invalid and _key(row) not in self._logged_invalid:
+            self._logged_invalid.add(_key(row))
             loguru.logger.bind(
                 server=row.server_id, headers=report.invalid
             ).warning("ignored headers of a backend server")
@@ -169,7 +175,7 @@
                 "backend server states no rate limit any more"
             )
             return
-        share = self._share(row, limit_per_s)
+        share = self._share(row, gate)
         if gate.bucket is None:
             gate.bucket = server_limit.Bucket(share, self._now_ms())
         else:
@@ -188,22 +194,23 @@
                 entries=len(self._feed.entries.active_addresses),
             ).info("backend server states a rate limit")
 
-    def _share(
-        self, row: server_table.Row, limit_per_s: float
-    ) -> server_limit.Share:
-        return server_limit.share(
-            limit_per_s,
-            self._feed.entries.active_addresses,
-            self._own_address,
-            row.server_id,
-        )
+    def _share(self, row: server_table.Row, gate: _Gate) -> server_limit.Share:
+        entries = self._feed.entries.active_addresses
+        inputs = (gate.limit_per_s, entries)
+        if inputs != gate.share_inputs:
+            gate.share_inputs = inputs
+            gate.share = server_limit.share(
+                gate.limit_per_s, entries, self._own_address, row.server_id
+            )
+        return gate.share
 
     def remove_stale(self) -> None:
         """Removes what was said by servers that left or started again."""
-        for key in tuple(self._gates):
+        for key in (*self._gates, *self._logged_invalid):
             row = self._feed.table.get(key[0])
             if row is None or _key(row) != key:
-                del self._gates[key]
+                self._gates.pop(key, None)
+                self._logged_invalid.discard(key)
 
 
 def _is_paused(gate: _Gate, now_ms: float) -> bool:
