Pass a request to join on to the leader

Trace from the logs of its processes: 127.0.172.2 lost its disk and ran again at 08:51:49.97; it asked to join each 0.5 s, but knew the seeds only, of which one was gone and the other no leader; the leader .11, which had replaced a seed, never heard it. 3.8 s later .11 was lost too, and one of three voters was left.

Cause: a request to join was ignored by all but the leader, and an instance with an empty disk knows no other addresses than its seeds. The first receiver now passes it on to the leader that it knows. test_request_to_join_is_passed_on_to_the_leader failed before.

--- a/auburnway/registrar/message_handlers.py
+++ b/auburnway/registrar/message_handlers.py
@@ -48,4 +48,4 @@
 
 @handle.register
 def _(message: messages.Join, stream, node) -> None:
-    node.on_join(message)
+    node.on_join(message, stream)
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -369,8 +369,17 @@
             lambda: self.consensus.receive(raft.sender, (message,))
         )
 
-    def on_join(self, join: messages.Join) -> None:
-        """Adds a control instance if this instance is the leader."""
+    def on_join(self, join: messages.Join, stream: stream_lib.Stream) -> None:
+        """Adds a control instance, or passes its request on to the leader.
+
+        An instance that lost its disk knows only the seeds, and the leader may
+        be none of them. Only the first receiver passes a request on.
+        """
+        is_direct = stream.context == join.address
+        leader = self.consensus.leader_address
+        if not self.consensus.is_leader and is_direct and leader:
+            self.dialer(leader).send(messages.encode(join))
+            return
         member = raft_records.Member(
             join.name, join.incarnation, join.address, voter=False
         )
--- a/auburnway/registrar/node_test.py
+++ b/auburnway/registrar/node_test.py
@@ -1,6 +1,8 @@
 """Tests of the messages that a control instance sends to a new entry."""
 
+import contextlib
 import socket
+import types
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import process
@@ -28,8 +30,9 @@
         del frame
 
 
-def initial_messages(is_first_start, disk=None):
-    """Returns the messages of an instance without a leader to an entry."""
+@contextlib.contextmanager
+def running_node(is_first_start, disk=None):
+    """Yields an instance without a leader."""
     with socket.create_server(("127.0.0.1", 0)) as probe:
         port = probe.getsockname()[1]
     seeds = tuple(f"127.0.0.{n}:80" for n in (1, 2, 3))
@@ -48,7 +51,12 @@
     loop = process.Loop(clock_lib.ManualClock())
     sockets = socket_set.SocketSet(loop.poller).register(loop.root)
     with loop.stack:
-        node = node_lib.Node(settings, identity, store, loop, sockets, disk)
+        yield node_lib.Node(settings, identity, store, loop, sockets, disk)
+
+
+def initial_messages(is_first_start, disk=None):
+    """Returns the messages of an instance without a leader to an entry."""
+    with running_node(is_first_start, disk) as node:
         stream = Stream()
         node.on_hello(messages.Hello("entry", "e"), stream)
         node.on_entry_state(messages.EntryState("e:1", "z", True), stream)
@@ -80,3 +88,27 @@
     sent = initial_messages(is_first_start=True, disk=disk)
     assert messages.Revision(7) in sent
     assert sent[-1] == messages.Document(7, b"content")
+
+
+def test_request_to_join_is_passed_on_to_the_leader():
+    # Guards against an instance that lost its disk and never joins again,
+    # because the leader is none of the seeds that it knows.
+    with running_node(is_first_start=True) as node:
+        leader = next(
+            m for m in node.consensus.raft.members if m.address != node.address
+        )
+        node.consensus.raft.leader = leader.incarnation
+        sent = Stream()
+        node._dialers[leader.address].close()
+        node._dialers[leader.address] = types.SimpleNamespace(
+            send=sent.send, close=lambda: None, stream=None
+        )
+        join = messages.Join("10.0.0.9:7", "10.0.0.9:7.x", "10.0.0.9:7")
+        stream = Stream()
+        node.on_hello(messages.Hello("control", join.address), stream)
+        node.on_join(join, stream)
+        assert sent.sent == [join]
+        # A request that was passed on already is not passed on again.
+        stream.context = "10.0.0.8:7"
+        node.on_join(join, stream)
+        assert sent.sent == [join]
