--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,7 @@
-"""A server in need states its limit as a decimal number with many digits."""
+"""A request that crashes its servers comes again and is retried each time."""
 
 import asyncio
 import collections
-import os
 import pathlib
 import random
 import sys
@@ -14,48 +13,60 @@
 import stand_ins  # noqa: E402 (the path is set above)
 
 SERVICE = "kafi81c"
-SERVER_COUNT = 5
-SERVER_SLOTS = 5
-# The limit as a server prints the quotient 10 / 3.
-LIMIT_TEXT = os.environ.get("LIMIT", "3.3333333333333335")
-NEED_S = 25.0
-WINDOW_S = 4.0
-# An entry counts from this time after it has passed on the limit.
-HEARD_AFTER_S = 0.5
-REQUESTS_PER_ENTRY_S = 20.0
-
-
-class NeedyBackend(stand_ins.Backend):
-    """Records which entry sent each request.
+SERVER_COUNT = 11
+SERVER_SLOTS = 4
+WORK_S = 0.12
+# Time after which a crashed server is back.
+DOWN_S = 3.0
+# Period in which the crashing request comes again, and for how long.
+CRASH_PERIOD_S = 2.0
+CRASHES_S = 40.0
+CRASHING_PATH = "/search/pit-7"
+CRASHING_BODY = b"crash"
+# Retries that the rule allows.
+ALLOWED_RETRIES = 3
+REQUESTS_PER_ENTRY_S = 5.0
+
+
+class CrashingBackend(stand_ins.Backend):
+    """Dies when it begins to run the crashing request.
 
     Attributes:
-      told_s: By entry, the time at which it was first told a limit.
-      sent_by: Entry and time of each request.
+      crashes: Monotonic times in s at which a server crashed, shared by all.
     """
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.told_s: dict[str, float] = {}
-        self.sent_by: list[tuple[str, float]] = []
+    crashes: list[float] = []
+    crashing_arrivals: list[tuple[str, float]] = []
+    rebirths: set[asyncio.Task] = set()
 
     async def on_request(self, request, request_id, writer) -> bool:
-        """Runs a request."""
-        sender = request.headers["sender"]
-        self.sent_by.append((sender, time.monotonic()))
-        goes_on = await super().on_request(request, request_id, writer)
-        if self.advice:
-            self.told_s.setdefault(sender, time.monotonic())
-        return goes_on
-
-
-async def _send_all(client, sender: str, answers: list) -> None:
+        """Runs a request, or crashes."""
+        if request.body != CRASHING_BODY:
+            return await super().on_request(request, request_id, writer)
+        now_s = time.monotonic()
+        self.crashing_arrivals.append((request_id, now_s))
+        self.begin(request_id)
+        self._record.add("crash", id=request_id, server=self.server_id)
+        self.crashes.append(now_s)
+        self.crash()
+        task = asyncio.create_task(self._return())
+        self.rebirths.add(task)
+        return False
+
+    async def _return(self) -> None:
+        """Starts again under a new id, as a new incarnation."""
+        await asyncio.sleep(DOWN_S)
+        self._running = 0
+        name, _, number = self.server_id.partition(".")
+        self.server_id = f"{name}.{int(number or 0) + 1}"
+        await self.start()
+
+
+async def _send_all(client: stand_ins.Client, answers: list) -> None:
     tasks = set()
     try:
         while True:
-            # The name of the entry travels along, to tell the senders apart.
-            task = asyncio.create_task(
-                client.send("GET", "/search/1", deadline_ms=1500, Sender=sender)
-            )
+            task = asyncio.create_task(client.send("POST", "/book/1", b"cloth"))
             task.add_done_callback(lambda t: answers.append(t.result()))
             tasks.add(task)
             await asyncio.sleep(1 / REQUESTS_PER_ENTRY_S)
@@ -63,31 +74,49 @@
         await asyncio.gather(*tasks)
 
 
-def _most_in_window(server: NeedyBackend, since_s: float) -> int:
-    """Returns the most requests of entries that knew, in any `WINDOW_S`."""
-    times_s = [
-        at_s
-        for sender, at_s in server.sent_by
-        if at_s >= since_s
-        and at_s >= server.told_s.get(sender, float("inf")) + HEARD_AFTER_S
+async def _send_crashing(record, entries, rng) -> None:
+    """Sends the same request again and again, at any entry."""
+    clients = [
+        stand_ins.Client(record, entry.address(stand_ins.FRONT_PORT))
+        for entry in entries
     ]
-    return max(
-        (
-            sum(start <= t < start + WINDOW_S for t in times_s)
-            for start in times_s
-        ),
-        default=0,
-    )
+    end_s = time.monotonic() + CRASHES_S
+    while time.monotonic() < end_s:
+        client = rng.choice(clients)
+        await client.send("POST", CRASHING_PATH, CRASHING_BODY, 1500)
+        await asyncio.sleep(CRASH_PERIOD_S)
+
+
+def _late_retries() -> int:
+    """Returns the retries long after the third crash.
+
+    Only the second and later arrivals of one client attempt count, so no
+    arrival for which the client asked itself.
+    """
+    if len(CrashingBackend.crashes) < 3:
+        return 0
+    since_s = sorted(CrashingBackend.crashes)[2] + stand_ins.STABILITY_S
+    arrivals = collections.Counter()
+    retries = 0
+    for request_id, arrived_s in CrashingBackend.crashing_arrivals:
+        arrivals[request_id] += 1
+        if arrivals[request_id] > 1 and arrived_s > since_s:
+            retries += 1
+    return retries
 
 
 async def _play(record: stand_ins.Record) -> int:
     fleet = stand_ins.Fleet(record)
+    rng = random.Random(1)
     try:
-        routes = [stand_ins.route("r-1", "/search/", "safe", Service=SERVICE)]
+        routes = [
+            stand_ins.route("r-1", "/search/", "safe", Service=SERVICE),
+            stand_ins.route("r-2", "/book/", "unsafe", Service=SERVICE),
+        ]
         await fleet.start(stand_ins.configuration(1, routes, [SERVICE]))
         controls = [m.address(stand_ins.CONTROL_PORT) for m in fleet.controls]
-        servers = [
-            NeedyBackend(
+        for n in range(SERVER_COUNT):
+            server = CrashingBackend(
                 record,
                 f"i-{n:08x}",
                 SERVICE,
@@ -95,10 +124,8 @@
                 controls,
                 random.Random(n),
                 SERVER_SLOTS,
+                WORK_S,
             )
-            for n in range(SERVER_COUNT)
-        ]
-        for server in servers:
             await server.start()
         await asyncio.sleep(1.0)
         answers = []
@@ -108,40 +135,35 @@
                     stand_ins.Client(
                         record, entry.address(stand_ins.FRONT_PORT)
                     ),
-                    entry.name,
                     answers,
                 )
             )
             for entry in fleet.entries
         ]
         await asyncio.sleep(stand_ins.STABILITY_S + 1.0)
-        limited = servers[0]
         if stand_ins.has_trouble():
-            limited.advice["Server-Limit"] = LIMIT_TEXT
-        first_s = time.monotonic()
-        await asyncio.sleep(NEED_S)
-        most = _most_in_window(limited, first_s + stand_ins.STABILITY_S)
+            await _send_crashing(record, fleet.entries, rng)
+        else:
+            await asyncio.sleep(CRASHES_S / 4)
         for sender in senders:
             sender.cancel()
         await asyncio.gather(*senders, return_exceptions=True)
         statuses = collections.Counter(
             answer.status if answer else "none" for _, answer in answers
         )
-        allowed = 1.5 * float(LIMIT_TEXT) * WINDOW_S + 5
-        record.say(f"answers by status: {dict(statuses)}")
+        retries = _late_retries()
+        record.say(f"other requests by status: {dict(statuses)}")
+        record.say(f"servers crashed: {len(CrashingBackend.crashes)}")
         record.say(
-            f"limit {LIMIT_TEXT}: most requests in {WINDOW_S} s: {most},"
-            f" allowed {allowed:.1f}"
-        )
-        ignored = sum(
-            bool(fleet.log_lines(entry, "ignored headers"))
-            for entry in fleet.entries
+            f"retries of the crashing request later than"
+            f" {stand_ins.STABILITY_S} s after its third crash: {retries}"
         )
-        record.say(f"entries that logged ignored headers: {ignored}")
         if not statuses[200]:
             raise stand_ins.CannotRunError("nothing was served")
-        return stand_ins.BROKEN if most > allowed else stand_ins.HELD
+        return stand_ins.BROKEN if retries > ALLOWED_RETRIES else stand_ins.HELD
     finally:
+        for task in CrashingBackend.rebirths:
+            task.cancel()
         fleet.close()
 
 
