--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,11 @@
-"""A client offers another protocol and sends more on its connection."""
+"""All processes are killed right after a server's leaving is acknowledged."""
 
 import asyncio
 import collections
 import pathlib
 import random
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
@@ -12,76 +13,42 @@
 import stand_ins  # noqa: E402 (the path is set above)
 
 SERVICE = "kafi81c"
-SERVER_COUNT = 5
-CONNECTIONS = 12
-REQUESTS_PER_CONNECTION = 4
-PAUSE_S = 0.2
-ANSWER_TIMEOUT_S = 5.0
-# What a client sends that could also speak HTTP/2 without TLS; RFC 7540,
-# section 3.2. A server that does not want to change ignores it.
-OFFER = {
-    "Connection": "Upgrade, HTTP2-Settings",
-    "Upgrade": "h2c",
-    "HTTP2-Settings": "AAMAAABkAAQAAP__",
-}
+SERVER_COUNT = 11
+# Servers that leave: a share of less than 0.168.
+LEAVER_COUNT = 1
+DRAIN_S = stand_ins.BOUNDS["DrainMs"] / 1000
+# Time from the acknowledgement to the kill, and from that to the new start.
+KILL_AFTER_S = 0.02
+DOWN_S = 1.0
+# Machines are in touch again this long after the start of all of them.
+IN_TOUCH_S = 2 * stand_ins.STABILITY_S
+# Time that the server serves after it is to have no more requests.
+LONGER_S = 12.0
+REQUESTS_PER_ENTRY_S = 10.0
 
 
-class KeptConnection:
-    """One connection of a client, used for one request after another.
-
-    Attributes:
-      foreign: Requests that got an answer which came before they were sent.
-      statuses: Answers by status.
-    """
-
-    def __init__(self, record, address: str, rng: random.Random):
-        self.foreign: list[str] = []
-        self.statuses: collections.Counter = collections.Counter()
-        self._record = record
-        self._address = address
-        self._rng = rng
+async def _send_all(client: stand_ins.Client, answers: list) -> None:
+    tasks = set()
+    try:
+        while True:
+            task = asyncio.create_task(client.send("POST", "/book/1", b"cloth"))
+            task.add_done_callback(lambda t: answers.append(t.result()))
+            tasks.add(task)
+            await asyncio.sleep(1 / REQUESTS_PER_ENTRY_S)
+    finally:
+        await asyncio.gather(*tasks)
 
-    async def play(self) -> None:
-        """Sends the requests of this connection, each after the last answer."""
-        host, _, port = self._address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            for _ in range(REQUESTS_PER_CONNECTION):
-                if not await self._send(reader, writer):
-                    return
-                await asyncio.sleep(PAUSE_S)
-        finally:
-            writer.close()
 
-    async def _send(self, reader, writer) -> bool:
-        """Sends one request; returns whether the connection stays open."""
-        request_id = f"{self._rng.getrandbits(64):016x}"
-        # The event loop has read all that came since the last answer.
-        is_early = bool(reader._buffer)  # noqa: SLF001 (no public way to peek)
-        headers = {
-            "Host": stand_ins.HOST,
-            "Request-Id": request_id,
-            "Deadline-Ms": "5000",
-            **(OFFER if stand_ins.has_trouble() else {}),
-        }
-        start = "POST /book/1 HTTP/1.1"
-        self._record.add("sent", id=request_id, to=self._address)
-        writer.write(stand_ins.encode_message(start, headers, b"cloth"))
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            answer = await stand_ins.read_message(reader)
-        if answer is None:
-            self.statuses["none"] += 1
-            return False
-        self.statuses[answer.status] += 1
-        self._record.add(
-            "answered",
-            id=request_id,
-            status=answer.status,
-            came_before_the_request=is_early,
-        )
-        if is_early:
-            self.foreign.append(request_id)
-        return answer.headers.get("connection", "").lower() != "close"
+async def _kill_and_start(record, fleet) -> float:
+    """Kills all processes, starts them again, and returns when, in s."""
+    for machine in fleet.machines:
+        machine.end()
+    record.add("killed_all")
+    await asyncio.sleep(DOWN_S)
+    for machine in fleet.machines:
+        machine.start()
+    record.add("started_all")
+    return time.monotonic()
 
 
 async def _play(record: stand_ins.Record) -> int:
@@ -98,36 +65,55 @@
                 stand_ins.ZONES[n % len(stand_ins.ZONES)],
                 controls,
                 random.Random(n),
+                4,
             )
             for n in range(SERVER_COUNT)
         ]
         for server in servers:
             await server.start()
-        await asyncio.sleep(stand_ins.STABILITY_S + 1.0)
-        rng = random.Random(1)
-        connections = [
-            KeptConnection(
-                record,
-                fleet.entries[n % len(fleet.entries)].address(
-                    stand_ins.FRONT_PORT
-                ),
-                rng,
+        await asyncio.sleep(1.0)
+        answers = []
+        senders = [
+            asyncio.create_task(
+                _send_all(
+                    stand_ins.Client(
+                        record, entry.address(stand_ins.FRONT_PORT)
+                    ),
+                    answers,
+                )
             )
-            for n in range(CONNECTIONS)
+            for entry in fleet.entries
         ]
-        for connection in connections:
-            await connection.play()
-        statuses = sum((c.statuses for c in connections), collections.Counter())
-        foreign = [i for c in connections for i in c.foreign]
-        ran = {i for server in servers for i, _ in server.runs}
+        await asyncio.sleep(stand_ins.STABILITY_S + 1.0)
+        leaver = servers[0]
+        acknowledged_s = await leaver.deregister()
+        if acknowledged_s is None:
+            raise stand_ins.CannotRunError("the leaving was not acknowledged")
+        await asyncio.sleep(KILL_AFTER_S)
+        started_s = time.monotonic()
+        if stand_ins.has_trouble():
+            started_s = await _kill_and_start(record, fleet)
+        await asyncio.sleep(DRAIN_S + LONGER_S)
+        since_s = max(acknowledged_s + DRAIN_S, started_s + IN_TOUCH_S)
+        late = [i for i, at_s in leaver.arrivals if at_s > since_s]
+        for request_id in late:
+            record.add("late", id=request_id, server=leaver.server_id)
+        await leaver.stop()
+        for sender in senders:
+            sender.cancel()
+        await asyncio.gather(*senders, return_exceptions=True)
+        statuses = collections.Counter(
+            answer.status if answer else "none" for _, answer in answers
+        )
         record.say(f"answers by status: {dict(statuses)}")
         record.say(
-            f"{len(foreign)} requests got an answer that was sent before they"
-            f" were; {sum(i in ran for i in foreign)} of them ran"
+            f"{len(late)} requests reached the server later than"
+            f" {since_s - acknowledged_s:.1f} s after its leaving was"
+            " acknowledged, from machines in touch"
         )
         if not statuses[200]:
             raise stand_ins.CannotRunError("nothing was served")
-        return stand_ins.BROKEN if foreign else stand_ins.HELD
+        return stand_ins.BROKEN if late else stand_ins.HELD
     finally:
         fleet.close()
 
