Acknowledge a server's stop or drain when enough disks hold it

Cause: control acknowledged what was in memory only. The copy of the table on disk is written once a second; the copies that were loaded after the start held the server as ready, and a server that has deregistered sends nothing that would correct them.

Change: control asks all its peers to save the row and acknowledges a drain or a stop when more instances than may be lost with their disks have it on disk, else answers 503 after 700 ms. No leader is needed, as the states of one start only advance. The calls of backend servers move to registrar/backend_servers.py, the streams between control instances to registrar/peers.py.

Related paths: a heartbeat with `draining` had the same fault; a deregister of an unknown server was acknowledged without effect; a failed write of the table counted as saved.

--- a/auburnway/platform/control_calls.py
+++ b/auburnway/platform/control_calls.py
@@ -1,5 +1,6 @@
 """HTTP calls of operators and backend servers to a control instance."""
 
+from collections import abc
 import re
 import urllib.parse
 
@@ -56,18 +57,15 @@
     def _serve_backend_call(
         self, request, server_id: str, action: bytes
     ) -> None:
-        if action == b"heartbeat":
-            decoded = documents.decode_heartbeat(server_id, request.body)
-            if not pipeline.is_successful(decoded):
-                _reply_errors(request, (decoded.failure(),))
-                return
-            error = self._node.accept_heartbeat(decoded.unwrap())
-        else:
-            error = self._node.accept_server_stop(server_id)
-        if error is not None:
-            _reply_errors(request, (error,))
+        on_reply = self._acknowledge(request)
+        if action != b"heartbeat":
+            self._node.servers.accept_stop(server_id, on_reply)
+            return
+        decoded = documents.decode_heartbeat(server_id, request.body)
+        if pipeline.is_successful(decoded):
+            self._node.servers.accept_heartbeat(decoded.unwrap(), on_reply)
         else:
-            request.reply(200, _JSON, b"{}")
+            _reply_errors(request, (decoded.failure(),))
 
     def _put_configuration(self, request) -> None:
         decoded = documents.decode_configuration(request.body)
@@ -75,6 +73,10 @@
             _reply_errors(request, decoded.failure())
             return
         command = documents.make_put_command(request.body, decoded.unwrap())
+        self._node.put_configuration(command, self._acknowledge(request))
+
+    def _acknowledge(self, request) -> abc.Callable[[result.Result], None]:
+        """Returns a function that replies whether a call was accepted."""
 
         def on_reply(reply: result.Result):
             if pipeline.is_successful(reply):
@@ -82,7 +84,7 @@
             else:
                 self._reply_failure(request, reply.failure())
 
-        self._node.put_configuration(command, on_reply)
+        return on_reply
 
     def _reply_configuration(self, request, reply: result.Result) -> None:
         if pipeline.is_successful(reply):
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -204,6 +204,10 @@
         path = f"/auburnway/instances/{self.server_id}/heartbeat"
         return call(control, "POST", path, body)[0]
 
+    def send_stop(self, control):
+        path = f"/auburnway/instances/{self.server_id}/deregister"
+        return call(control, "POST", path, {})[0]
+
     def close(self):
         self._server.shutdown()
         self._server.server_close()
@@ -366,6 +370,15 @@
 
         return wait_until(attempt)
 
+    def kill_and_start_all(self):
+        """Kills all processes at once and starts them again."""
+        machines = (*self.controls, *self.entries)
+        for machine in machines:
+            machine.send_signal(signal.SIGKILL)
+        for machine in machines:
+            machine.kill()
+            machine.start()
+
     def request(self, path, entry=0, method="GET", body=None, **headers):
         request_headers = {
             "Host": "h.example",
--- a/auburnway/registrar/message_handlers.py
+++ b/auburnway/registrar/message_handlers.py
@@ -23,7 +23,17 @@
 
 @handle.register
 def _(message: messages.Rows, stream, node) -> None:
-    node.on_rows(message)
+    node.servers.on_rows(message)
+
+
+@handle.register
+def _(message: messages.SaveRows, stream, node) -> None:
+    node.servers.on_save_rows(message, stream)
+
+
+@handle.register
+def _(message: messages.RowsSaved, stream, node) -> None:
+    node.servers.on_rows_saved(message)
 
 
 @handle.register
--- a/auburnway/registrar/messages.py
+++ b/auburnway/registrar/messages.py
@@ -40,6 +40,31 @@
     rows: tuple[typing.Any, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class SaveRows:
+    """Asks a control instance to save rows, and to say so with `RowsSaved`.
+
+    Attributes:
+      rows: Rows of backend servers that leave, as in `Rows`.
+    """
+
+    rows: tuple[typing.Any, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class RowsSaved:
+    """States of leaving backend servers that a control instance has saved.
+
+    Attributes:
+      holder: Address of the instance.
+      departures: Identifier, start (ms since the Unix epoch) and state of each
+        server.
+    """
+
+    holder: str
+    departures: tuple[tuple[str, int, str], ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Location:
     """Data centre of the sending control instance.
@@ -215,6 +240,8 @@
     Hello
     | Controls
     | Rows
+    | SaveRows
+    | RowsSaved
     | Location
     | Subscribe
     | Watch
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -2,9 +2,9 @@
 
 Each control instance accepts heartbeats of backend servers and pushes changes
 to all entries and to the other control instances. An entry keeps a stream to
-every control instance, so the loss of one causes no delay. The table of
-backend servers is soft state: a process that connects sends its rows, so a
-control instance that starts with an empty table receives all rows again.
+every control instance, so the loss of one causes no delay. A process that
+connects sends its rows of backend servers, so a control instance that starts
+with an empty table receives all rows again.
 """
 
 from collections import abc
@@ -22,11 +22,13 @@
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
+from auburnway.registrar import backend_servers
 from auburnway.registrar import copy_writer
 from auburnway.registrar import data_folder
 from auburnway.registrar import entry_news
 from auburnway.registrar import message_handlers
 from auburnway.registrar import messages
+from auburnway.registrar import peers as peers_lib
 from auburnway.registrar import replies
 from auburnway.registrar import revision_file
 from auburnway.registrar import revision_machine
@@ -34,8 +36,6 @@
 from auburnway.registrar import table_file
 from auburnway.storage import disk as disk_lib
 
-# A server counts as silent after this many periods without a heartbeat.
-MISSED_HEARTBEATS = 2.5
 TICK_MS = 250.0
 # Entries need about this long to connect after a start of all processes; an
 # earlier list of entries would lack most of them.
@@ -58,7 +58,7 @@
         self._address = address
 
     def send(self, message: raft_records.Message) -> None:
-        dialer = self._node.dialer(self._address)
+        dialer = self._node.peers.dialer(self._address)
         wire = messages.Raft(self._node.address, raft_wire.encode(message))
         dialer.send(messages.encode(wire))
 
@@ -76,6 +76,12 @@
       loop: Event loop of this node.
       sockets: Set that the streams are registered with.
       disk: Data folder, in which a copy of the table is saved.
+
+    Attributes:
+      address: Address for control instances and entries, ip:port.
+      table: Table of backend servers.
+      peers: Streams to the other control instances.
+      servers: Handles the calls of backend servers.
     """
 
     def __init__(
@@ -95,8 +101,12 @@
         self._clock = loop.clock
         self._sockets = sockets
         self._started_ms = self._clock.now_ms()
-        self._dialers: dict[str, stream_lib.Dialer] = {}
-        self._last_heartbeat_ms: dict[str, float] = {}
+        self.peers = peers_lib.Peers(
+            self.address,
+            settings.tolerated_losses,
+            lambda: len(self.consensus.raft.members),
+            self._dial,
+        )
         self._entries = entry_news.EntryNews(self.table, settings.data_center)
         self._saved_state = revision_file.load(disk)
         self._sent_revision = self._saved_state.revision
@@ -129,10 +139,18 @@
             self._on_lost,
         )
         loop.stack.callback(self._listener.close)
-        loop.stack.callback(self._close_dialers)
+        loop.stack.callback(self.peers.close)
         self._sync_dialers()
-        writer = copy_writer.CopyWriter(disk, loop.stack)
-        self._table_saver = table_file.TableSaver(writer)
+        writer = copy_writer.CopyWriter(disk, loop.stack, self.consensus.post)
+        self.servers = backend_servers.BackendServers(
+            self.peers,
+            self._entries,
+            self.table,
+            table_file.TableSaver(writer),
+            loop.timers,
+            self._clock,
+            settings.heartbeat_ms,
+        )
         self._revision_saver = revision_file.RevisionSaver(
             writer, self._saved_state
         )
@@ -212,70 +230,17 @@
             return replies.NotAvailable("no leader is known")
         return replies.SeeLeader(leader.rpartition(":")[0])
 
-    # Backend servers.
-
-    def accept_heartbeat(self, row: server_table.Row) -> errors.Error | None:
-        """Processes a heartbeat; returns None if it may be acknowledged."""
-        if self._is_isolated():
-            return replies.NotAvailable("this instance reaches no other")
-        now_ms = self._clock.now_ms()
-        if self.table.put(row, now_ms):
-            loguru.logger.bind(
-                server=row.server_id,
-                service=row.service,
-                state=row.state.value,
-                sequence=row.sequence,
-            ).info("backend server changed")
-            self._push_rows((row.server_id,))
-        if row.server_id not in self._last_heartbeat_ms:
-            self._entries.add_heard(row.server_id)
-        self._last_heartbeat_ms[row.server_id] = now_ms
-        return None
-
-    def accept_server_stop(self, server_id: str) -> errors.Error | None:
-        """Processes a server's stop; returns None if it may be acknowledged."""
-        if self._is_isolated():
-            return replies.NotAvailable("this instance reaches no other")
-        row = self.table.end(server_id, self._clock.now_ms())
-        if row is not None:
-            loguru.logger.bind(server=server_id).info("backend server ended")
-            self._push_rows((server_id,))
-        return None
-
-    def _is_isolated(self) -> bool:
-        peers = [peer for peer in self._dialers if peer != self.address]
-        has_peer = any(self._dialers[peer].stream is not None for peer in peers)
-        return bool(peers) and not has_peer and not self._entries
-
     # Streams.
 
-    def dialer(self, address: str) -> stream_lib.Dialer:
-        """Returns the dialer to another control instance."""
-        dialer = self._dialers.get(address)
-        if dialer is None:
-            dialer = self._dialers[address] = stream_lib.Dialer(
-                address,
-                self._sockets,
-                self._loop.timers,
-                self._clock,
-                self._on_open,
-                self._on_message,
-                self._on_instance_lost,
-            )
-        return dialer
-
-    def _on_instance_lost(self, stream: stream_lib.Stream) -> None:
-        """Tells all entries what the subscribers of a lost one may lack."""
-        del stream
-        recent_ids = self._entries.recent(self._clock.now_ms())
-        if recent_ids:
-            self._entries.push_frame(self._pack_rows(recent_ids))
-
-    def _reaches_all_instances(self) -> bool:
-        return all(
-            dialer.stream is not None
-            for address, dialer in self._dialers.items()
-            if address != self.address
+    def _dial(self, address: str) -> stream_lib.Dialer:
+        return stream_lib.Dialer(
+            address,
+            self._sockets,
+            self._loop.timers,
+            self._clock,
+            self._on_open,
+            self._on_message,
+            lambda stream: self.servers.repeat_recent(),
         )
 
     def _on_open(self, stream: stream_lib.Stream) -> None:
@@ -320,7 +285,7 @@
             self._entries.send_state(
                 stream,
                 self._controls(),
-                self._last_heartbeat_ms,
+                self.servers.heard_ids,
                 self._newest_state().revision,
             )
 
@@ -336,20 +301,6 @@
         """Starts or ends the digests of the table to an entry."""
         self._entries.on_watch(watch, stream)
 
-    def on_rows(self, rows: messages.Rows) -> None:
-        """Merges rows and forwards the changed rows to the entries."""
-        now_ms = self._clock.now_ms()
-        decoded, problems = server_table.decode_rows(rows.rows)
-        if problems:
-            loguru.logger.bind(count=len(problems)).warning(
-                "ignored rows of backend servers: {}", problems[0]
-            )
-        changed_ids = [
-            row.server_id for row in decoded if self.table.put(row, now_ms)
-        ]
-        if changed_ids:
-            self._push_rows(tuple(changed_ids), to_controls=False)
-
     def on_fetch(self, stream: stream_lib.Stream) -> None:
         """Sends the newest configuration that this instance has applied."""
         state = self._newest_state()
@@ -378,33 +329,13 @@
         is_direct = stream.context == join.address
         leader = self.consensus.leader_address
         if not self.consensus.is_leader and is_direct and leader:
-            self.dialer(leader).send(messages.encode(join))
+            self.peers.dialer(leader).send(messages.encode(join))
             return
         member = raft_records.Member(
             join.name, join.incarnation, join.address, voter=False
         )
         self.consensus.post(lambda: self.consensus.add_learner(member))
 
-    def _push_rows(
-        self, server_ids: tuple[str, ...], to_controls: bool = True
-    ) -> None:
-        frame = self._pack_rows(server_ids)
-        reaches_all = not to_controls or self._reaches_all_instances()
-        self._entries.push_rows(frame, reaches_all)
-        if to_controls:
-            self._entries.on_change(server_ids, self._clock.now_ms())
-            for dialer in self._dialers.values():
-                if dialer.stream is not None:
-                    dialer.stream.send_packed(frame)
-
-    def _pack_rows(self, server_ids: tuple[str, ...]) -> bytes:
-        rows = tuple(
-            server_table.encode_row(row)
-            for row in map(self.table.get, server_ids)
-            if row is not None
-        )
-        return stream_lib.pack(messages.encode(messages.Rows(rows)))
-
     def _push_entries(self) -> None:
         if self._clock.now_ms() - self._started_ms >= FIRST_LIST_MS:
             self._entries.push_entries()
@@ -412,27 +343,13 @@
     # Periodic work.
 
     def _tick(self) -> None:
-        now_ms = self._clock.now_ms()
-        limit_ms = MISSED_HEARTBEATS * self._settings.heartbeat_ms
-        silent = tuple(
-            server_id
-            for server_id, last_ms in self._last_heartbeat_ms.items()
-            if now_ms - last_ms > limit_ms
-        )
-        for server_id in silent:
-            del self._last_heartbeat_ms[server_id]
-        if silent:
-            loguru.logger.bind(servers=silent).info(
-                "backend servers missed their heartbeats"
-            )
-            self._entries.push(messages.Heard(silent, False))
-        self.table.purge(now_ms)
+        self.servers.check()
         self._push_entries()
         self._entries.flush()
         self._sync_dialers()
 
     def _save(self) -> None:
-        self._table_saver.save(self.table.rows())
+        self.servers.save()
         self._revision_saver.save(self.consensus.state)
 
     def _controls(self) -> messages.Controls | None:
@@ -449,23 +366,13 @@
     def _sync_dialers(self) -> None:
         expected_addresses = {m.address for m in self.consensus.raft.members}
         expected_addresses |= data_folder.internal_addresses(self._settings)
-        expected_addresses.discard(self.address)
-        for address in expected_addresses:
-            self.dialer(address)
-        for address in tuple(self._dialers):
-            if address not in expected_addresses:
-                self._dialers.pop(address).close()
-
-    def _close_dialers(self) -> None:
-        for dialer in self._dialers.values():
-            dialer.close()
+        self.peers.keep(expected_addresses - {self.address})
 
     def _ask_to_join(self) -> None:
         join = messages.Join(
             self._identity.name, self._identity.incarnation, self.address
         )
-        for dialer in self._dialers.values():
-            dialer.send(messages.encode(join))
+        self.peers.send(join)
 
     def _on_applied(self) -> None:
         revision = self.consensus.state.revision
--- a/auburnway/registrar/node_test.py
+++ b/auburnway/registrar/node_test.py
@@ -99,8 +99,8 @@
         )
         node.consensus.raft.leader = leader.incarnation
         sent = Stream()
-        node._dialers[leader.address].close()
-        node._dialers[leader.address] = types.SimpleNamespace(
+        node.peers.dialer(leader.address).close()
+        node.peers._dialers[leader.address] = types.SimpleNamespace(
             send=sent.send, close=lambda: None, stream=None
         )
         join = messages.Join("10.0.0.9:7", "10.0.0.9:7.x", "10.0.0.9:7")
--- a/auburnway/registrar/telemetry.py
+++ b/auburnway/registrar/telemetry.py
@@ -62,6 +62,17 @@
             "Known backend servers, ended ones included.",
             lambda: [(len(node.table), {})],
         )
+        gauge(
+            "backend.departures.waiting",
+            "Drains and stops that wait until enough instances saved them.",
+            lambda: [(node.servers.waiting_count, {})],
+        )
+        gauge(
+            "backend.departures.refused",
+            "Drains and stops that too few instances saved in time, since the"
+            " start.",
+            lambda: [(node.servers.refused_count, {})],
+        )
         gauge(
             "log.dropped_lines",
             "Log lines dropped since the start.",
