Quarantine requests that crash the backend servers that run them

Cause: the pass-through mode kept nothing of a request beyond one client attempt. AttemptTracker counts the sends of the attempt, the retry budget those of the service; neither knows the content, and no entry tells another.

Change: a server that accepts no connection right after it lost one while it ran a request is a strike against that content at that service. Entries report strikes to all control instances; two of them quarantine the content at all entries (policy/crash_containment.py, pure). It is refused with 503 and a time, then control grants one send without retries at a time; each further strike makes the pause four times as long. Any reply of a server to equal content clears it everywhere. A lost connection to a server that goes on is no strike, as servers drop idle connections and cut replies.

Related paths: hedges and retries under way, requests that may not be repeated (their clients send them again), and shards of a query, each of which counts for itself. Open: a server that ends without closing its connections.

--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -11,6 +11,7 @@
 from auburnway.core import route_table
 from auburnway.core import server_table
 from auburnway.gateway import attempts as attempts_lib
+from auburnway.gateway import crash_guard
 from auburnway.gateway import dialect as dialect_lib
 from auburnway.gateway import feed as feed_lib
 from auburnway.gateway import server_gates
@@ -21,6 +22,7 @@
 from auburnway.net import reply_reader
 from auburnway.net import socket_set
 from auburnway.net import web_client
+from auburnway.net import web_connection
 from auburnway.policy import hedging
 from auburnway.policy import retry_budget
 from auburnway.policy import server_choice
@@ -69,6 +71,7 @@
 
     Attributes:
       pool: Connections to backend servers.
+      crash_guard: Keeps requests that crash backend servers from them.
       extra_send_counts: Numbers of sent and denied hedges and retries.
       sub_request_count: Number of sub-requests, without hedges and retries.
     """
@@ -103,6 +106,12 @@
             ),
         )
         loop.stack.callback(self.pool.close)
+        self.crash_guard = crash_guard.CrashGuard(
+            feed,
+            lambda address, on_result: self.pool.check(address, on_result),
+            loop.timers,
+            loop.clock,
+        )
         self._stats: dict[str, server_choice.ServerStats] = {}
         self.gates = server_gates.ServerGates(
             settings.client_address, feed, self.now_ms
@@ -320,7 +329,7 @@
         # A hedge that would miss the objective anyway is not sent earlier.
         return min(delay_ms, latest_ms) if latest_ms > 0 else delay_ms
 
-    def classify(self, reply: web_client.Reply) -> attempts_lib.Verdict:
+    def classify(self, reply: web_connection.Reply) -> attempts_lib.Verdict:
         """Returns the result of a send, given its reply."""
         if reply.failure is not None:
             return attempts_lib.Verdict.LOST
@@ -335,7 +344,7 @@
         self,
         route: route_table.Route,
         send: sub_request_lib.Send,
-        reply: web_client.Reply,
+        reply: web_connection.Reply,
     ) -> None:
         """Updates the measurements of a server with a reply."""
         now_ms, stats = self.now_ms(), self.stats(send.row)
@@ -359,7 +368,7 @@
         self,
         row: server_table.Row,
         stats: server_choice.ServerStats,
-        reply: web_client.Reply,
+        reply: web_connection.Reply,
     ) -> None:
         report = server_report.decode(self._dialect, reply)
         if report.load is not None:
--- a/auburnway/gateway/feed.py
+++ b/auburnway/gateway/feed.py
@@ -17,10 +17,12 @@
 from auburnway.core import server_table
 from auburnway.gateway import dialect as dialect_lib
 from auburnway.gateway import entry_list
+from auburnway.gateway import message_handlers
 from auburnway.gateway import settings as settings_lib
 from auburnway.kernel import process
 from auburnway.net import socket_set
 from auburnway.net import stream as stream_lib
+from auburnway.policy import crash_containment
 from auburnway.policy import entry_selection
 from auburnway.policy import news_sources
 from auburnway.policy import revision_source
@@ -56,6 +58,8 @@
       load: Reported load of this entry; set by `report_load`.
       table_request_count: Number of requests for the table, as news did not
         arrive.
+      containment: Requests that crash backend servers.
+      on_trial: Called with each answer to a request for a trial.
     """
 
     def __init__(
@@ -71,6 +75,8 @@
         self.is_ready = False
         self.load = 0.0
         self.table_request_count = 0
+        self.containment = crash_containment.Containment()
+        self.on_trial: abc.Callable[[messages.Trial], None] = lambda _: None
         self._settings = settings
         self._dialect = dialect
         self._loop = loop
@@ -93,11 +99,13 @@
         }
         self._set_controls(self._seeds)
         loop.stack.callback(self._close)
-        loop.timers.every(
-            PURGE_MS, lambda: self.table.purge(self._clock.now_ms())
-        )
+        loop.timers.every(PURGE_MS, self._purge)
         loop.timers.every(COMPARE_MS, self._compare_tables)
 
+    def _purge(self) -> None:
+        self.table.purge(self._clock.now_ms())
+        self.containment.purge(self._clock.now_ms())
+
     @property
     def revision(self) -> int:
         """Number of the configuration in force; -1 before the first."""
@@ -249,7 +257,7 @@
                 "ignored an undecodable message: {}", repr(error)
             )
             return
-        _dispatch(message, address, self)
+        message_handlers.handle(message, address, self)
 
     def on_controls(self, controls: messages.Controls, address: str) -> None:
         """Opens and closes streams to match the set of control instances.
@@ -301,8 +309,41 @@
             "backend server says in a reply that it leaves"
         )
         news = messages.Rows((server_table.encode_row(drained),))
+        self.send_to_all(news)
+
+    def send_to_all(self, message: messages.Message) -> None:
+        """Sends a message to all control instances that are connected."""
         for address in self._dialers:
-            self._send(address, news)
+            self._send(address, message)
+
+    def ask_trial(self, question: messages.AskTrial) -> bool:
+        """Asks a control instance for a trial; returns whether one is there.
+
+        All entries ask the same one, as long as they reach the same ones.
+        """
+        connected = [
+            a for a, d in self._dialers.items() if d.stream is not None
+        ]
+        if not connected:
+            return False
+        address = max(
+            connected,
+            key=lambda a: crash_containment.fingerprint(
+                question.key, a.encode()
+            ),
+        )
+        self._send(address, question)
+        return True
+
+    def on_quarantine(self, quarantine: messages.Quarantine) -> None:
+        """Records a request that entries must not run."""
+        struck_ms = self._clock.now_ms() - quarantine.age_ms
+        if self.containment.merge(
+            quarantine.key, quarantine.strikes, struck_ms
+        ):
+            loguru.logger.bind(
+                fingerprint=quarantine.key.hex(), strikes=quarantine.strikes
+            ).warning("a request is quarantined")
 
     def on_heartbeat_state(self, heard: messages.Heard, address: str) -> None:
         """Records whether a control instance gets heartbeats of servers."""
@@ -403,59 +444,3 @@
 
 def _decode_entries(pairs) -> tuple[entry_selection.Entry, ...]:
     return tuple(entry_selection.Entry(*pair) for pair in pairs)
-
-
-@functools.singledispatch
-def _dispatch(message, address: str, feed: Feed) -> None:
-    """Handles a message of a control instance; ignores other message types."""
-
-
-@_dispatch.register
-def _(message: messages.Controls, address, feed) -> None:
-    feed.on_controls(message, address)
-
-
-@_dispatch.register
-def _(message: messages.Rows, address, feed) -> None:
-    feed.on_rows(message)
-
-
-@_dispatch.register
-def _(message: messages.Location, address, feed) -> None:
-    feed.on_location(message, address)
-
-
-@_dispatch.register
-def _(message: messages.TableDigest, address, feed) -> None:
-    feed.on_table_digest(message, address)
-
-
-@_dispatch.register
-def _(message: messages.AskRows, address, feed) -> None:
-    del message
-    feed.on_ask_rows(address)
-
-
-@_dispatch.register
-def _(message: messages.Heard, address, feed) -> None:
-    feed.on_heartbeat_state(message, address)
-
-
-@_dispatch.register
-def _(message: messages.Entries, address, feed) -> None:
-    feed.on_entries(message, address)
-
-
-@_dispatch.register
-def _(message: messages.EntriesChanged, address, feed) -> None:
-    feed.on_entries_changed(message, address)
-
-
-@_dispatch.register
-def _(message: messages.Revision, address, feed) -> None:
-    feed.on_revision(message, address)
-
-
-@_dispatch.register
-def _(message: messages.Document, address, feed) -> None:
-    feed.on_document(message)
--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -389,6 +389,12 @@
             objective_ms - delay_ms,
             objective_ms - reserved_ms,
             request.received_ms + left_ms,
+            (
+                request.method,
+                request.fields[b"host"],
+                request.target,
+                request.body,
+            ),
         )
 
     def _head(self, request: web_server.Request) -> bytes:
--- a/auburnway/gateway/server_gates_test.py
+++ b/auburnway/gateway/server_gates_test.py
@@ -8,7 +8,7 @@
 from auburnway.core import route_table
 from auburnway.gateway import server_report
 from auburnway.gateway import testing
-from auburnway.net import web_client
+from auburnway.net import web_connection
 
 
 def _state_limit(harness, call, limit):
@@ -98,7 +98,7 @@
 
 def _refuse(harness, call, pause):
     fields = {b"x-not-started": b"1", b"retry-after": pause}
-    call.on_reply(web_client.Reply(503, (), fields))
+    call.on_reply(web_connection.Reply(503, (), fields))
 
 
 def test_paused_server_gets_no_request_until_then():
--- a/auburnway/gateway/server_report.py
+++ b/auburnway/gateway/server_report.py
@@ -4,7 +4,7 @@
 import re
 
 from auburnway.gateway import dialect as dialect_lib
-from auburnway.net import web_client
+from auburnway.net import web_connection
 
 # Greater numbers are not meant; they are taken as this one.
 MAX_LIMIT_PER_S = 1e6
@@ -48,7 +48,7 @@
 
 
 def decode(
-    dialect: dialect_lib.Dialect, reply: web_client.Reply
+    dialect: dialect_lib.Dialect, reply: web_connection.Reply
 ) -> ServerReport:
     """Decodes the headers of a reply that a backend server has sent.
 
--- a/auburnway/gateway/sub_request.py
+++ b/auburnway/gateway/sub_request.py
@@ -14,7 +14,9 @@
 from auburnway.core import server_table
 from auburnway.gateway import attempts as attempts_lib
 from auburnway.kernel import timers as timers_lib
-from auburnway.net import web_client
+from auburnway.net import exchange
+from auburnway.net import web_connection
+from auburnway.policy import crash_containment
 
 if typing.TYPE_CHECKING:
     from auburnway.gateway import dispatcher as dispatcher_lib
@@ -51,6 +53,7 @@
       target_ms: Time by which the answer should be sent.
       partial_ms: Time at which a partial answer is sent.
       deadline_ms: Time by which the request must be answered.
+      content: What makes requests equal: method, host, target and body.
     """
 
     request_id: bytes
@@ -62,6 +65,11 @@
     target_ms: float
     partial_ms: float
     deadline_ms: float
+    content: tuple[bytes, ...] = ()
+
+    def fingerprint(self, service: str) -> bytes:
+        """Returns the key of equal requests to one service."""
+        return crash_containment.fingerprint(service.encode(), *self.content)
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,7 +87,7 @@
     row: server_table.Row
     sent_ms: float
     expected_ms: float
-    call: web_client.Call | None = None
+    call: web_connection.Call | None = None
     is_done: bool = False
 
 
@@ -113,7 +121,7 @@
           first_row: Server of the first send, if it was already chosen.
         """
         self.service = service
-        self.reply: web_client.Reply | None = None
+        self.reply: web_connection.Reply | None = None
         self.outcome: attempts_lib.Outcome | None = None
         self.wait_ms = 0.0
         self.wait_reason = ""
@@ -152,7 +160,43 @@
     def start(self) -> None:
         """Sends the request for the first time."""
         self._dispatcher.on_first_send(self.service)
-        self._send()
+        guard = self._dispatcher.crash_guard
+        if guard.is_idle:
+            self._send()
+            return
+        state = guard.state(self._key)
+        if state is crash_containment.State.FREE:
+            self._send()
+        elif state is crash_containment.State.QUARANTINED:
+            self._refuse_quarantined(guard.wait_ms(self._key))
+        else:
+            self._is_waiting = True
+            guard.ask_trial(self._key, self._on_trial)
+
+    @property
+    def _key(self) -> bytes:
+        return self._context.fingerprint(self.service)
+
+    def _on_trial(self, is_granted: bool, wait_ms: float) -> None:
+        """Runs a quarantined request once, or refuses it."""
+        self._is_waiting = False
+        if self.outcome is not None:
+            return
+        if is_granted:
+            self._may_send_again = False
+            self._send()
+        else:
+            self._refuse_quarantined(wait_ms)
+
+    def _refuse_quarantined(self, wait_ms: float) -> None:
+        self.wait_ms, self.wait_reason = wait_ms, "quarantined"
+        self._end_without_reply()
+
+    def _is_quarantined(self) -> bool:
+        guard = self._dispatcher.crash_guard
+        return not guard.is_idle and (
+            guard.state(self._key) is not crash_containment.State.FREE
+        )
 
     def cancel(self) -> None:
         """Cancels the sub-request and its open sends."""
@@ -280,6 +324,8 @@
         may_hedge = self._may_send_again and self._attempts.may_hedge()
         if self.outcome is not None or not may_hedge:
             return
+        if self._is_quarantined():
+            return
         # A hedge to a full server would only lengthen the queue there.
         has_room = dispatcher.has_room(
             self.service, self._context.route, self._tried_ids()
@@ -292,7 +338,7 @@
         dispatcher.extra_send_counts["hedge_denied"] += 1
         self._timer = dispatcher.timers.after(HEDGE_RECHECK_MS, self._hedge)
 
-    def _on_reply(self, send: Send, reply: web_client.Reply) -> None:
+    def _on_reply(self, send: Send, reply: web_connection.Reply) -> None:
         try:
             self._process_reply(send, reply)
         except Exception:
@@ -300,12 +346,13 @@
             if self.outcome is None and not self._has_open_sends():
                 self._end_without_reply()
 
-    def _process_reply(self, send: Send, reply: web_client.Reply) -> None:
+    def _process_reply(self, send: Send, reply: web_connection.Reply) -> None:
         dispatcher, now_ms = self._dispatcher, self._dispatcher.now_ms()
         send.is_done = True
         verdict = dispatcher.classify(reply)
         dispatcher.record_reply(self._context.route, send, reply)
         self._attempts.on_end(verdict, reply.reached)
+        self._report_to_guard(verdict, send, reply)
         if verdict is attempts_lib.Verdict.SUCCESS:
             self._end(attempts_lib.Outcome.SUCCESS, reply)
             return
@@ -325,6 +372,24 @@
                 self.reply = dataclasses.replace(reply, body=b"")
         self._retry()
 
+    def _report_to_guard(
+        self,
+        verdict: attempts_lib.Verdict,
+        send: Send,
+        reply: web_connection.Reply,
+    ) -> None:
+        guard = self._dispatcher.crash_guard
+        if verdict in (
+            attempts_lib.Verdict.SUCCESS,
+            attempts_lib.Verdict.FAILED,
+        ):
+            if not guard.is_idle:
+                guard.on_answered(self._key)
+        elif (
+            reply.failure is exchange.Failure.CONNECTION_LOST and reply.reached
+        ):
+            guard.on_lost(self._key, send.row)
+
     def _retry(self) -> None:
         """Retries after an unsuccessful send if rules and budget allow it."""
         if self.outcome is not None:
@@ -334,6 +399,7 @@
             self._may_send_again
             and self._attempts.may_retry()
             and dispatcher.has_untried(self.service, self._tried_ids())
+            and not self._is_quarantined()
         )
         if may_retry and self._try_spend_retry(now_ms):
             dispatcher.extra_send_counts["retry"] += 1
--- a/auburnway/gateway/telemetry.py
+++ b/auburnway/gateway/telemetry.py
@@ -50,6 +50,17 @@
             "Backend servers that want no request now.",
             lambda: [(node.dispatcher.gates.paused_count, {})],
         )
+        gauge(
+            "requests.quarantined",
+            "Requests that are not run as they crash backend servers.",
+            lambda: [(node.dispatcher.crash_guard.quarantined_count, {})],
+        )
+        gauge(
+            "requests.strikes",
+            "Backend servers lost while they ran a request of this entry, for"
+            " each request, since the start.",
+            lambda: [(node.dispatcher.crash_guard.strike_count, {})],
+        )
         gauge(
             "table.requests",
             "Requests for the table of servers, as news did not arrive.",
--- a/auburnway/gateway/testing.py
+++ b/auburnway/gateway/testing.py
@@ -13,7 +13,8 @@
 from auburnway.kernel import process
 from auburnway.net import exchange
 from auburnway.net import socket_set
-from auburnway.net import web_client
+from auburnway.net import web_connection
+from auburnway.policy import crash_containment
 
 SETTINGS = settings_lib.Settings(
     name="entry",
@@ -35,6 +36,7 @@
     def __init__(self):
         self.sent = []
         self.has_free_connections = True
+        self.crashed = set()
 
     def set_limit(self, address, limit):
         pass
@@ -42,6 +44,9 @@
     def has_capacity(self, address):
         return self.has_free_connections
 
+    def check(self, address, on_result):
+        on_result(address not in self.crashed)
+
     def send(self, address, payload, on_reply, *_):
         call = types.SimpleNamespace(
             address=address, payload=payload, on_reply=on_reply, cancelled=False
@@ -70,7 +75,13 @@
             entries=types.SimpleNamespace(
                 active_count=1, active_addresses=(SETTINGS.client_address,)
             ),
+            containment=crash_containment.Containment(),
+            on_trial=None,
+            told=[],
+            trial_questions=[],
         )
+        self.feed.send_to_all = self.feed.told.append
+        self.feed.ask_trial = self._ask_trial
         self.dispatcher = dispatcher_lib.Dispatcher(
             SETTINGS,
             DIALECT,
@@ -101,9 +112,14 @@
             100,
             100,
             1000,
+            (b"GET", b"h", b"/", b""),
         )
         self.answers = []
 
+    def _ask_trial(self, question):
+        self.feed.trial_questions.append(question)
+        return True
+
     def gather(self):
         client_request_lib.GatheredRequest(
             self.dispatcher,
@@ -135,14 +151,18 @@
         if signature is not False:
             fields[b"x-signature"] = signature or call.address.encode()
         headers = tuple(fields.items())
-        call.on_reply(web_client.Reply(status, headers, fields, body))
+        call.on_reply(web_connection.Reply(status, headers, fields, body))
 
     def reject(self, call):
         fields = {b"x-not-started": b"1"}
-        call.on_reply(web_client.Reply(503, (), fields))
+        call.on_reply(web_connection.Reply(503, (), fields))
+
+    def crash(self, call):
+        self.pool.crashed.add(call.address)
+        self.lose_connection(call)
 
     def lose_connection(self, call, reached=True):
-        call.on_reply(web_client.Reply(0, failure=LOST, reached=reached))
+        call.on_reply(web_connection.Reply(0, failure=LOST, reached=reached))
 
 
 def row(shard, i):
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -4,6 +4,7 @@
 ends only the processes that it started.
 """
 
+import contextlib
 import dataclasses
 import http.client
 import http.server
@@ -75,6 +76,8 @@
       arrivals_s: Monotonic time in s at which each request arrived, rejected
         ones included.
       faulty_reply: What is sent in place of a reply; None to reply properly.
+      crashes_on: Body of the requests that end the server; None for none.
+      has_crashed: Whether the server has ended.
       requests: Id, path and headers of each executed request.
       runs: Id and monotonic time in s of each executed request.
       cancelled: Ids of the requests that were cancelled while executing.
@@ -93,6 +96,9 @@
         self.advice: dict[str, str] = {}
         self.arrivals_s = []
         self.faulty_reply: FaultyReply | None = None
+        self.crashes_on: bytes | None = None
+        self.has_crashed = False
+        self._connections = set()
         self.requests = []
         self.runs = []
         self.cancelled = []
@@ -104,6 +110,10 @@
             def log_message(self, *_):
                 pass
 
+            def setup(self):
+                super().setup()
+                backend._connections.add(self.connection)
+
             def handle_one_request(self):
                 try:
                     super().handle_one_request()
@@ -134,6 +144,9 @@
             self._reply(handler, 503, b"", {"Not-Executed": "full"})
             return
         self.runs.append((request_id, time.monotonic()))
+        if self.crashes_on is not None and body == self.crashes_on:
+            self._crash()
+            return
         if self.faulty_reply is not None:
             handler.close_connection = True
             self._send_faulty(handler.connection, request_id)
@@ -151,6 +164,15 @@
         }
         self._reply(handler, 200, self.records or b"echo:" + body, headers)
 
+    def _crash(self):
+        """Ends the server as the end of its process would."""
+        self.has_crashed = True
+        # A close would take effect only when no thread waits for the socket.
+        self._server.socket.shutdown(socket.SHUT_RDWR)
+        for connection in tuple(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def _send_faulty(self, connection, request_id):
         faulty_reply = self.faulty_reply
         try:
--- a/auburnway/registrar/message_handlers.py
+++ b/auburnway/registrar/message_handlers.py
@@ -46,6 +46,21 @@
     node.on_watch(message, stream)
 
 
+@handle.register
+def _(message: messages.Strike, stream, node) -> None:
+    node.crash_reports.on_strike(message, stream)
+
+
+@handle.register
+def _(message: messages.Cleared, stream, node) -> None:
+    node.crash_reports.on_cleared(message)
+
+
+@handle.register
+def _(message: messages.AskTrial, stream, node) -> None:
+    node.crash_reports.on_ask_trial(message, stream)
+
+
 @handle.register
 def _(message: messages.Fetch, stream, node) -> None:
     node.on_fetch(stream)
--- a/auburnway/registrar/messages.py
+++ b/auburnway/registrar/messages.py
@@ -236,6 +236,75 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Strike:
+    """A backend server was lost while it ran a request of the sending entry.
+
+    Attributes:
+      key: Fingerprint of the request.
+      server: Lost start of the server.
+    """
+
+    key: bytes
+    server: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Cleared:
+    """A backend server has survived a request that had strikes.
+
+    Attributes:
+      key: Fingerprint of the request.
+    """
+
+    key: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Quarantine:
+    """A request that crashes backend servers, which entries must not run.
+
+    Attributes:
+      key: Fingerprint of the request.
+      strikes: Number of servers that it has cost.
+      age_ms: Time since the last of them was lost.
+    """
+
+    key: bytes
+    strikes: int
+    age_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class AskTrial:
+    """Asks whether the sending entry may run a quarantined request once.
+
+    Attributes:
+      key: Fingerprint of the request.
+      strikes: Number of servers that it has cost, as the entry knows.
+      age_ms: Time since the last of them was lost.
+    """
+
+    key: bytes
+    strikes: int
+    age_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """Answer to `AskTrial`.
+
+    Attributes:
+      key: Fingerprint of the request.
+      is_granted: Whether the entry may run the request once.
+      wait_ms: Time until a trial may be granted; 0 if it is.
+    """
+
+    key: bytes
+    is_granted: bool
+    wait_ms: float
+
+
 Message = (
     Hello
     | Controls
@@ -256,6 +325,11 @@
     | Document
     | Raft
     | Join
+    | Strike
+    | Cleared
+    | Quarantine
+    | AskTrial
+    | Trial
 )
 
 _TYPES = {cls.__name__: cls for cls in typing.get_args(Message)}
--- a/auburnway/registrar/node.py
+++ b/auburnway/registrar/node.py
@@ -24,6 +24,7 @@
 from auburnway.net import stream as stream_lib
 from auburnway.registrar import backend_servers
 from auburnway.registrar import copy_writer
+from auburnway.registrar import crash_reports
 from auburnway.registrar import data_folder
 from auburnway.registrar import entry_news
 from auburnway.registrar import message_handlers
@@ -82,6 +83,7 @@
       table: Table of backend servers.
       peers: Streams to the other control instances.
       servers: Handles the calls of backend servers.
+      crash_reports: Handles what entries report of crashing requests.
     """
 
     def __init__(
@@ -151,6 +153,9 @@
             self._clock,
             settings.heartbeat_ms,
         )
+        self.crash_reports = crash_reports.CrashReports(
+            self._entries, self._clock
+        )
         self._revision_saver = revision_file.RevisionSaver(
             writer, self._saved_state
         )
@@ -288,6 +293,7 @@
                 self.servers.heard_ids,
                 self._newest_state().revision,
             )
+            self.crash_reports.send_all(stream)
 
     def on_subscribe(
         self, subscribe: messages.Subscribe, stream: stream_lib.Stream
@@ -344,6 +350,7 @@
 
     def _tick(self) -> None:
         self.servers.check()
+        self.crash_reports.purge()
         self._push_entries()
         self._entries.flush()
         self._sync_dialers()
--- a/auburnway/registrar/telemetry.py
+++ b/auburnway/registrar/telemetry.py
@@ -73,6 +73,11 @@
             " start.",
             lambda: [(node.servers.refused_count, {})],
         )
+        gauge(
+            "requests.quarantined",
+            "Requests that entries do not run as they crash backend servers.",
+            lambda: [(node.crash_reports.quarantined_count, {})],
+        )
         gauge(
             "log.dropped_lines",
             "Log lines dropped since the start.",
