Read numbers of servers and clients in each form that programs print

Cause: gateway/server_report.py took at most 12 digits on each side of the point; a longer number counted as no limit, and lifted the limit named before.

Change: net/header_numbers.py reads any number of digits, takes too great ones as the greatest, and is used for limit, pause, load, idle timeout and deadline. An unreadable limit leaves the last one in force.

Related paths: Retry-After of a server (same expression); Server-Load and Keep-Alive with thousands of digits raised an exception while the reply was processed; a Deadline-Ms with a fraction counted as none, so servers were handed more time than was left.

Evidence: on the old code server_report_test.py failed in six cases, whole_test with a deadline of 300.5 ms got 200 instead of 504, and the reply with a long Keep-Alive was lost in an exception.

In one parallel run server_report_test::test_server_that_leaves [True] failed with one request after the notice; alone it passed four times.

--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -16,6 +16,7 @@
 from auburnway.gateway import sub_request as sub_request_lib
 from auburnway.kernel import process
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import header_numbers
 from auburnway.net import socket_set
 from auburnway.net import web_server
 from auburnway.policy import client_delay
@@ -368,7 +369,8 @@
     def _time_left_ms(self, request: web_server.Request) -> float:
         """Returns the time that a request states until its deadline."""
         header = request.fields.get(self._dialect.time_left.lower(), b"")
-        return float(header) if header.isdigit() else MAX_DEADLINE_MS
+        left_ms = header_numbers.decimal(header, MAX_DEADLINE_MS)
+        return MAX_DEADLINE_MS if left_ms is None else left_ms
 
     def _request_context(
         self, request: web_server.Request, route: route_table.Route
--- a/auburnway/gateway/server_gates.py
+++ b/auburnway/gateway/server_gates.py
@@ -126,7 +126,9 @@
             ):
                 return
             gate = self._gates[_key(row)] = _Gate()
-        self._set_limit(row, gate, report.limit_per_s)
+        # A server whose limit cannot be read is still in need.
+        if not report.is_limit_unreadable:
+            self._set_limit(row, gate, report.limit_per_s)
         if report.is_leaving and gate.leaving_since_ms is None:
             gate.leaving_since_ms = self._now_ms()
         if report.pause_ms:
--- a/auburnway/gateway/server_gates_test.py
+++ b/auburnway/gateway/server_gates_test.py
@@ -47,6 +47,20 @@
     assert len(harness.answers) == 12
 
 
+def test_unreadable_limit_leaves_the_last_one_in_force():
+    # Guards against all traffic for a server in need that states a limit in a
+    # form that cannot be read.
+    harness = testing.GatewayHarness(shards=("a",), servers=1, gather=None)
+    harness.single()
+    _state_limit(harness, harness.pool.sent[-1], b"0.25")
+    for _ in range(20):
+        count = len(harness.pool.sent)
+        harness.single()
+        for call in harness.pool.sent[count:]:
+            _state_limit(harness, call, b"a few")
+    assert len(harness.pool.sent) <= 6
+
+
 def test_new_start_of_a_server_has_no_limit():
     # Guards against a limit that outlives the process that stated it.
     harness = testing.GatewayHarness(shards=("a",), servers=1, gather=None)
--- a/auburnway/net/web_client_test.py
+++ b/auburnway/net/web_client_test.py
@@ -128,6 +128,16 @@
     assert harness.pool.opened_count == 1
 
 
+def test_idle_timeout_of_any_length_is_read(harness):
+    # Guards against a reply that is lost in an exception about its headers.
+    harness.send(b"a")
+    peer = harness.accept()
+    timeout = b"Keep-Alive: timeout=%s\r\n" % (b"9" * 5000)
+    peer.sendall(make_reply(b"a", b"1", timeout))
+    assert harness.result().body == b"1"
+    assert harness.pool.connection_count() == 1
+
+
 def test_cancel_closes_the_connection(harness):
     # A backend server stops its work only when the connection is closed.
     call = harness.send(b"a")
--- a/auburnway/net/web_connection.py
+++ b/auburnway/net/web_connection.py
@@ -14,6 +14,7 @@
 
 from auburnway.net import connecting
 from auburnway.net import exchange
+from auburnway.net import header_numbers
 from auburnway.net import reply_reader
 from auburnway.net import socket_set
 
@@ -24,6 +25,7 @@
 # A connection is not used in the last part of the idle timeout announced by
 # its server, because the server could close it while a request is in flight.
 IDLE_MARGIN_MS = 400.0
+MAX_IDLE_S = 3_600
 # Idle timeout for a server that announces none.
 DEFAULT_IDLE_MS = 4_000.0
 TCP_USER_TIMEOUT_MS = 3000
@@ -316,6 +318,9 @@
 def _idle_limit_ms(fields: dict[bytes, bytes]) -> float:
     for part in fields.get(b"keep-alive", b"").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return max(int(value) * 1000.0 - IDLE_MARGIN_MS, 0.0)
+        if name.lower() != b"timeout":
+            continue
+        timeout_s = header_numbers.whole(value, MAX_IDLE_S)
+        if timeout_s is not None:
+            return max(timeout_s * 1000.0 - IDLE_MARGIN_MS, 0.0)
     return DEFAULT_IDLE_MS
--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -105,13 +105,16 @@
     assert len(full.requests) == before
 
 
-def test_unrepeatable_request_runs_once_when_its_answer_is_late(platform):
+@pytest.mark.parametrize("deadline_ms", ["300", "300.5"])
+def test_unrepeatable_request_runs_once_when_its_answer_is_late(
+    platform, deadline_ms
+):
     slow = find_backend(platform, "solo-1")
     slow.delay_s = 0.6
     before = len(slow.requests)
     try:
         status, _, _ = platform.request(
-            "/unsafe/x", method="POST", Deadline_Ms="300"
+            "/unsafe/x", method="POST", Deadline_Ms=deadline_ms
         )
     finally:
         slow.delay_s = 0.0
