Bound the power of the pause after failures

What callers saw: after 1,024 failures of one server in a row, requests that failed there were left without due handling; the log says "unexpected exception of a reply", "int too large to convert to float".

Cause: ServerStats.on_failure computed 2 to the number of failures before it took the minimum. A server that answers nothing but endless bytes gets there within minutes.

Change: the exponent is bounded first. Looked for the same in powers of the other policies: all exponents are bounded.

Evidence: server_choice_test with 3,000 failures raised OverflowError before, and passes.

--- a/auburnway/policy/server_choice.py
+++ b/auburnway/policy/server_choice.py
@@ -26,6 +26,9 @@
 # consecutive failure up to the maximum.
 FAILURE_PAUSE_MS = 500.0
 MAX_FAILURE_PAUSE_MS = 4_000.0
+# Doublings of the pause beyond these change nothing, and a power of thousands
+# of failures would overflow.
+MAX_FAILURE_DOUBLINGS = 10
 # Increase of the expected time at a server whose slots are all in use.
 FULL_SLOTS_FACTOR = 0.2
 # Minimum slowness of a server that has just started.
@@ -118,7 +121,8 @@
         self._remove_outstanding(sent_ms)
         self._add_unserved(now_ms)
         self.failures += 1
-        pause_ms = FAILURE_PAUSE_MS * 2 ** (self.failures - 1)
+        doublings = min(self.failures - 1, MAX_FAILURE_DOUBLINGS)
+        pause_ms = FAILURE_PAUSE_MS * 2**doublings
         self.avoid_until_ms = now_ms + min(pause_ms, MAX_FAILURE_PAUSE_MS)
 
     def on_rejected(self, sent_ms: float, now_ms: float) -> None:
--- a/auburnway/policy/server_choice_test.py
+++ b/auburnway/policy/server_choice_test.py
@@ -149,3 +149,11 @@
     pair = [candidate("failed", stats), candidate("far", penalty_ms=3.0)]
     assert chosen(pair, 300.0) == "far"
     assert chosen(pair, 5000.0) == "failed"
+
+
+def test_server_that_always_fails_is_avoided_for_a_bounded_time():
+    # Guards against a power that overflows after 1,024 failures.
+    stats = server_choice.ServerStats()
+    for number in range(3_000):
+        stats.on_failure(float(number), float(number))
+    assert stats.avoid_until_ms == 2_999.0 + server_choice.MAX_FAILURE_PAUSE_MS
