Stop endless bytes inside the parser, and free them with their connection

Small headers and trailers of servers passed there.

Cause: readers and connections refer to their parser and it to them, so closed connections kept their bytes until the cycle collector ran; limits were checked after a whole block had become objects; nothing limited the requests of all clients together, the replies to one request, or replies that a client leaves unread.

--- a/auburnway/gateway/node.py
+++ b/auburnway/gateway/node.py
@@ -16,6 +16,7 @@
 from auburnway.gateway import sub_request as sub_request_lib
 from auburnway.kernel import process
 from auburnway.kernel import timers as timers_lib
+from auburnway.net import client_connection
 from auburnway.net import header_numbers
 from auburnway.net import socket_set
 from auburnway.net import web_server
@@ -221,7 +222,7 @@
         for request in sorted(requests, key=self._urgency):
             self._on_request(request)
 
-    def _urgency(self, request: web_server.Request) -> tuple[int, float]:
+    def _urgency(self, request: client_connection.Request) -> tuple[int, float]:
         """Returns the sort key of a request: its rank, then its deadline."""
         route = self._match(request)
         rank = route.rank if route is not None else 0
@@ -229,7 +230,7 @@
 
     # Requests.
 
-    def _on_request(self, request: web_server.Request) -> None:
+    def _on_request(self, request: client_connection.Request) -> None:
         try:
             self._process(request)
         except Exception:
@@ -238,7 +239,7 @@
             failed = client_request_lib.refusal(500, "internal_error")
             self._answer(request, None, failed)
 
-    def _process(self, request: web_server.Request) -> None:
+    def _process(self, request: client_connection.Request) -> None:
         refused = self._refuse_early(request)
         if refused is not None:
             self._answer(request, None, refused)
@@ -293,17 +294,21 @@
         request.on_gone = on_gone
         client_request.start()
 
-    def _match(self, request: web_server.Request) -> route_table.Route | None:
+    def _match(
+        self, request: client_connection.Request
+    ) -> route_table.Route | None:
         host = request.fields[b"host"].decode("latin-1")
         return self._matcher.match(host, request.path.decode("latin-1"))
 
-    def _wait_for_configuration(self, request: web_server.Request) -> None:
+    def _wait_for_configuration(
+        self, request: client_connection.Request
+    ) -> None:
         if self._stop is not None:
             self._refuse_unconfigured(request)
             return
         self._start_queue.add(request, self._time_left_ms(request))
 
-    def _refuse_unconfigured(self, request: web_server.Request) -> None:
+    def _refuse_unconfigured(self, request: client_connection.Request) -> None:
         refused = client_request_lib.refusal(
             503, "no_configuration", NO_CONFIGURATION_RETRY_MS
         )
@@ -355,7 +360,7 @@
         )
 
     def _refuse_early(
-        self, request: web_server.Request
+        self, request: client_connection.Request
     ) -> client_request_lib.Answer | None:
         hosts = [n for n, _ in request.headers if n.lower() == b"host"]
         if len(hosts) != 1:
@@ -366,14 +371,14 @@
             return client_request_lib.refusal(400, "no_request_id")
         return None
 
-    def _time_left_ms(self, request: web_server.Request) -> float:
+    def _time_left_ms(self, request: client_connection.Request) -> float:
         """Returns the time that a request states until its deadline."""
         header = request.fields.get(self._dialect.time_left.lower(), b"")
         left_ms = header_numbers.decimal(header, MAX_DEADLINE_MS)
         return MAX_DEADLINE_MS if left_ms is None else left_ms
 
     def _request_context(
-        self, request: web_server.Request, route: route_table.Route
+        self, request: client_connection.Request, route: route_table.Route
     ) -> sub_request_lib.RequestContext:
         left_ms = min(self._time_left_ms(request), route.timeout_ms)
         objective_ms = request.received_ms + route.target_ms
@@ -399,7 +404,7 @@
             ),
         )
 
-    def _head(self, request: web_server.Request) -> bytes:
+    def _head(self, request: client_connection.Request) -> bytes:
         connection_headers = (
             request.fields.get(b"connection", b"").lower().split(b",")
         )
@@ -432,7 +437,7 @@
 
     def _answer(
         self,
-        request: web_server.Request,
+        request: client_connection.Request,
         context: sub_request_lib.RequestContext | None,
         answer: client_request_lib.Answer,
     ) -> None:
--- a/auburnway/gateway/start_queue.py
+++ b/auburnway/gateway/start_queue.py
@@ -7,7 +7,7 @@
 
 from auburnway.core import clock as clock_lib
 from auburnway.kernel import timers as timers_lib
-from auburnway.net import web_server
+from auburnway.net import client_connection
 from auburnway.policy import start_wait
 
 
@@ -25,15 +25,15 @@
         self,
         timers: timers_lib.TimerQueue,
         clock: clock_lib.Clock,
-        on_refused: abc.Callable[[web_server.Request], None],
+        on_refused: abc.Callable[[client_connection.Request], None],
     ):
         self._timers = timers
         self._clock = clock
         self._on_refused = on_refused
         self._started_ms = clock.now_ms()
-        self._waiting: dict[web_server.Request, timers_lib.Timer] = {}
+        self._waiting: dict[client_connection.Request, timers_lib.Timer] = {}
 
-    def add(self, request: web_server.Request, left_ms: float) -> None:
+    def add(self, request: client_connection.Request, left_ms: float) -> None:
         """Holds a request, or refuses it at once.
 
         Args:
@@ -55,7 +55,7 @@
         )
         request.on_gone = lambda: self._remove(request)
 
-    def take_all(self) -> tuple[web_server.Request, ...]:
+    def take_all(self) -> tuple[client_connection.Request, ...]:
         """Removes and returns all requests."""
         requests = tuple(self._waiting)
         for request in requests:
@@ -67,10 +67,10 @@
         for request in self.take_all():
             self._on_refused(request)
 
-    def _remove(self, request: web_server.Request) -> None:
+    def _remove(self, request: client_connection.Request) -> None:
         self._waiting.pop(request).cancel()
         request.on_gone = None
 
-    def _refuse(self, request: web_server.Request) -> None:
+    def _refuse(self, request: client_connection.Request) -> None:
         self._remove(request)
         self._on_refused(request)
--- a/auburnway/net/reply_reader_test.py
+++ b/auburnway/net/reply_reader_test.py
@@ -1,5 +1,8 @@
 """Tests of the reader of replies and of its limits, without sockets."""
 
+import gc
+import weakref
+
 import pytest
 
 from auburnway.net import reply_reader
@@ -53,6 +56,56 @@
     assert reader.held_bytes <= 1000 + 2 * 500 + len(piece)
 
 
+# Pieces that fill a block with as many objects as they can.
+SMALL_PIECES = {
+    "fields": (HEAD, b"a:\r\n"),
+    "trailers": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"a:\r\n"),
+    "chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\na\r\n",
+    ),
+    "interim": (b"", b"HTTP/1.1 100 C\r\n\r\n"),
+    "late_replies": (b"", HEAD + b"Content-Length: 0\r\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", SMALL_PIECES)
+def test_small_pieces_stop_the_parser_inside_a_block(name):
+    # Guards against a block whose objects take a hundred times its size, and
+    # the time of all other requests.
+    head, piece = SMALL_PIECES[name]
+    limits = reply_reader.ReplyLimits()
+    reader = reply_reader.ReplyReader(limits)
+    reader.feed(head + piece * (65536 // len(piece)))
+    assert reader.excess
+    assert reader.pieces <= 1 + reply_reader.FRAMING_BYTES // 4
+
+
+def test_tiny_chunks_of_a_short_body_are_allowed():
+    body = b"b" * 2_000
+    chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+    limits = reply_reader.ReplyLimits()
+    reader = reply_reader.ReplyReader(limits)
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    reader.feed(head + chunks + b"0\r\n\r\n")
+    assert [reply.body for reply in reader.replies] == [body]
+
+
+def test_closed_reader_is_freed_at_once():
+    # Guards against the bytes of closed connections that stay in memory until
+    # the cycle collector runs.
+    reader = reply_reader.ReplyReader(reply_reader.ReplyLimits())
+    reader.feed(HEAD + b"\r\n" + b"a" * 1000)
+    reference = weakref.ref(reader)
+    gc.disable()
+    try:
+        reader.close()
+        del reader
+        assert reference() is None
+    finally:
+        gc.enable()
+
+
 def test_stated_length_over_the_limit_is_refused_before_the_body():
     reader = read(HEAD + b"Content-Length: 501\r\n\r\n")
     assert reader.excess == "body_bytes"
--- a/auburnway/net/web_connection.py
+++ b/auburnway/net/web_connection.py
@@ -15,6 +15,7 @@
 from auburnway.net import connecting
 from auburnway.net import exchange
 from auburnway.net import header_numbers
+from auburnway.net import parse_limit
 from auburnway.net import reply_reader
 from auburnway.net import socket_set
 
@@ -135,6 +136,7 @@
         # Called with whether the connection was established.
         self.on_connected: abc.Callable[[bool], None] = lambda _: None
         self._reader = reply_reader.ReplyReader(pool.limits)
+        self._read_size = parse_limit.ReadSize(RECEIVE_BYTES)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -199,7 +201,7 @@
 
     def _read(self) -> None:
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(self._read_size.next_bytes())
         except BlockingIOError:
             return
         except OSError:
@@ -212,7 +214,9 @@
             # No request is outstanding, so the bytes are not a reply.
             self.close(_PROTOCOL)
             return
+        pieces = self._reader.pieces
         self._reader.feed(data, self.call.has_no_body)
+        self._read_size.pieces += self._reader.pieces - pieces
         self.pool.held_bytes += len(data)
         self._match_reply()
         if not self.is_open or self.call is None:
@@ -276,6 +280,7 @@
         )
         if parsed.keep_alive and is_reusable and not self._unsent:
             self.pool.held_bytes -= self._reader.held_bytes
+            self._reader.close()
             self._reader = reply_reader.ReplyReader(self.pool.limits)
             self.idle_limit_ms = _idle_limit_ms(fields)
             self._become_idle()
@@ -307,6 +312,7 @@
             failure = _CONNECT_FAILED
         call, self.call = self.call, None
         self.pool.held_bytes -= self._reader.held_bytes
+        self._reader.close()
         self.pool.remove_connection(self)
         self.sock.close()
         if self.is_connecting:
--- a/auburnway/net/web_server_test.py
+++ b/auburnway/net/web_server_test.py
@@ -1,9 +1,13 @@
 """Tests of the pass-through server against raw client sockets."""
 
+import dataclasses
+import gc
 import socket
+import weakref
 
 import pytest
 
+from auburnway.net import client_connection
 from auburnway.net import testing
 from auburnway.net import web_server
 
@@ -257,6 +261,79 @@
         assert sent < 64 << 20
         harness.run_iterations()
     (connection,) = harness.server.connections
-    most = web_server.MAX_PIPELINED + web_server.RECEIVE_BYTES // len(GET)
+    most = (
+        client_connection.MAX_PIPELINED
+        + client_connection.RECEIVE_BYTES // len(GET)
+    )
     assert len(connection._waiting) <= most
     client.close()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        GET[:-2],
+        GET[:-2] + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+    ],
+)
+def test_small_headers_stop_the_parser_inside_a_block(harness, head):
+    # Guards against a block whose objects take a hundred times its size.
+    client = harness.connect(head + b"a:\r\n" * 400)
+    (connection,) = harness.server.connections
+    reply_bytes = harness.read(client, b"\r\n\r\n")
+    assert reply_bytes.startswith(b"HTTP/1.1 431")
+    assert connection.held_bytes == harness.server.held_bytes == 0
+    assert not harness.requests
+
+
+def test_closed_connection_is_freed_at_once(harness):
+    # Guards against the bytes of clients that left, which would stay until the
+    # cycle collector runs.
+    client = harness.connect(
+        GET[:-2] + b"Content-Length: 90\r\n\r\n" + b"a" * 50
+    )
+    (connection,) = harness.server.connections
+    reference = weakref.ref(connection)
+    del connection
+    assert harness.server.held_bytes >= 50
+    gc.disable()
+    try:
+        client.close()
+        harness.run_until(lambda: not harness.server.connections)
+        harness.run_iterations(2)
+        assert reference() is None
+    finally:
+        gc.enable()
+    assert harness.server.held_bytes == 0
+
+
+def test_longest_incomplete_request_is_rejected_when_memory_is_used_up(harness):
+    # Guards against clients that fill the memory with bodies that never end.
+    harness.server.limits = dataclasses.replace(
+        LIMITS, body_bytes=3_000, header_timeout_ms=5_000, total_bytes=1_000
+    )
+    head = GET[:-2] + b"Content-Length: 3000\r\n\r\n"
+    small = harness.connect(head + b"a" * 2_000)
+    large = harness.connect(head + b"a" * 2_900)
+    harness.connect(head + b"a" * 2_500)
+    assert harness.read(large, b"\r\n\r\n").startswith(b"HTTP/1.1 503")
+    small.sendall(b"a" * 1_000)
+    harness.run_until(lambda: harness.requests)
+    assert len(harness.requests[0].body) == 3_000
+
+
+def test_requests_wait_while_their_client_reads_nothing(harness):
+    # Guards against replies that fill the memory because a client sends
+    # requests and reads no reply.
+    body = b"b" * (client_connection.MAX_UNSENT_BYTES // 2)
+    client = harness.connect(GET * 60)
+    for number in range(60):
+        harness.run_iterations(3)
+        if len(harness.requests) == number:
+            break
+        harness.requests[number].reply(200, (), body)
+    (connection,) = harness.server.connections
+    assert len(connection._unsent) <= 4 * client_connection.MAX_UNSENT_BYTES
+    assert len(harness.requests) < 60
+    client.settimeout(1.0)
+    harness.read(client, b"HTTP/1.1 200 OK")
--- a/auburnway/platform/control_calls.py
+++ b/auburnway/platform/control_calls.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from auburnway.core import errors
-from auburnway.net import web_server
+from auburnway.net import client_connection
 from auburnway.platform import documents
 from auburnway.registrar import node as node_lib
 from auburnway.registrar import replies
@@ -21,7 +21,7 @@
 )
 
 
-def _reply_errors(request: web_server.Request, problems) -> None:
+def _reply_errors(request: client_connection.Request, problems) -> None:
     body = orjson.dumps({"errors": [error.as_dict() for error in problems]})
     request.reply(problems[0].http_status, _JSON, body)
 
@@ -38,7 +38,7 @@
         self._node = node
         self._port = port
 
-    def on_request(self, request: web_server.Request) -> None:
+    def on_request(self, request: client_connection.Request) -> None:
         """Executes one call and replies, now or later."""
         server_match = _SERVER_PATH.match(request.path)
         endpoint = (request.method, request.path)
--- a/auburnway/platform/entry_calls.py
+++ b/auburnway/platform/entry_calls.py
@@ -5,7 +5,7 @@
 import orjson
 
 from auburnway.gateway import node as node_lib
-from auburnway.net import web_server
+from auburnway.net import client_connection
 
 _JSON = ((b"Content-Type", b"application/json"),)
 
@@ -22,7 +22,7 @@
         self._node = node
         self._ttl_s = ttl_ms / 1000.0
 
-    def on_directory(self, request: web_server.Request) -> None:
+    def on_directory(self, request: client_connection.Request) -> None:
         """Replies with the addresses of the entries that a client may use."""
         if request.path != b"/auburnway/resolve":
             request.reply(404, _JSON, b"{}")
@@ -36,6 +36,6 @@
         body = {"addrs": addresses, "ttl_s": self._ttl_s}
         request.reply(200, _JSON, orjson.dumps(body))
 
-    def on_readiness(self, request: web_server.Request) -> None:
+    def on_readiness(self, request: client_connection.Request) -> None:
         """Replies with status 200 when the entry is ready, 503 otherwise."""
         request.reply(200 if self._node.is_ready else 503, _JSON, b"{}")
--- a/auburnway/platform/main.py
+++ b/auburnway/platform/main.py
@@ -141,12 +141,13 @@
 
 
 def _serve_metrics(address: str, telemetry, loop, sockets) -> None:
+    from auburnway.net import client_connection
     from auburnway.net import web_server
 
     if not address:
         return
 
-    def on_request(request: web_server.Request):
+    def on_request(request: client_connection.Request):
         headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
         request.reply(200, headers, telemetry.text())
 
