Keep the question of another instance until a save holds its row

What callers saw: 100 drains a second at three control instances, some refused with 503 after 700 ms (p99 707 ms), found when the cost of the acknowledgements was measured.

Cause: a save that had begun before another instance asked ended after it, and took the question off the list although it did not hold the row.

Change: a question stays until a save holds its row or its time is over; on a failing disk questions end with their time. A saved end counts as a saved drain too, so that a late heartbeat of an ended server is not refused.

--- a/auburnway/platform/departure_test.py
+++ b/auburnway/platform/departure_test.py
@@ -1,5 +1,6 @@
 """Tests that an acknowledged stop or drain survives a loss of all processes."""
 
+import concurrent.futures
 import os
 import shutil
 import time
@@ -85,3 +86,16 @@
     assert platform.backends[0].send_stop(control) == 503
     # Entries respect it all the same.
     assert _requests_to(platform, platform.backends[0]) == 0
+
+
+def test_servers_of_a_release_are_all_acknowledged(platform):
+    # Guards against drains that are refused while another one is saved.
+    control = f"{platform.controls[0].ip}:{platform.CONTROL_PORT}"
+    servers = [
+        platform.add_backend(f"extra-{number}", "solo") for number in range(24)
+    ]
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        statuses = list(
+            executor.map(lambda server: server.send_stop(control), servers)
+        )
+    assert statuses == [200] * len(servers)
--- a/auburnway/registrar/backend_servers.py
+++ b/auburnway/registrar/backend_servers.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import dataclasses
 
 import loguru
 from returns import result
@@ -24,12 +25,21 @@
 
 # A server counts as silent after this many periods without a heartbeat.
 MISSED_HEARTBEATS = 2.5
-# Departures of this time are saved by one write of the table.
-COMMIT_MS = 10.0
+# Departures of this time are saved by one write of the whole table.
+COMMIT_MS = 20.0
 
 OnReply = abc.Callable[[result.Result], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    """Another instance waits until a departure is saved here."""
+
+    stream: stream_lib.Stream
+    departure: departures_lib.Departure
+    deadline_ms: float
+
+
 class BackendServers:
     """Table of the backend servers at one control instance.
 
@@ -62,10 +72,8 @@
         self._silence_ms = MISSED_HEARTBEATS * heartbeat_ms
         self._last_heartbeat_ms: dict[str, float] = {}
         self._departures = departures_lib.Departures()
-        # Departures that other instances asked to save, with their streams.
-        self._asked: list[
-            tuple[stream_lib.Stream, tuple[departures_lib.Departure, ...]]
-        ] = []
+        # What other instances asked to save and is not saved yet.
+        self._asked: list[_Question] = []
         self._is_commit_due = False
         # Calls that were refused because too few instances saved in time.
         self.refused_count = 0
@@ -172,8 +180,10 @@
     ) -> None:
         """Saves the rows of another instance, and then tells it so."""
         rows = self._merge(message.rows)
-        departures = tuple(map(departures_lib.Departure.of, rows))
-        self._asked.append((stream, departures))
+        deadline_ms = self._clock.now_ms() + departures_lib.TIMEOUT_MS
+        for row in rows:
+            departure = departures_lib.Departure.of(row)
+            self._asked.append(_Question(stream, departure, deadline_ms))
         self._commit_soon()
 
     def on_rows_saved(self, message: messages.RowsSaved) -> None:
@@ -207,9 +217,9 @@
         Args:
           rows: The rows; None if they could not be saved.
         """
-        asked, self._asked = self._asked, []
+        now_ms = self._clock.now_ms()
+        self._asked = [q for q in self._asked if q.deadline_ms > now_ms]
         if rows is None:
-            # Whoever asked will be refused, and asks again.
             return
         by_id = {row.server_id: row for row in rows}
         self._departures.on_saved(
@@ -221,14 +231,28 @@
             ],
             self._peers.copies_needed(),
         )
-        for stream, departures in asked:
-            saved = tuple(
-                (d.server_id, d.started_ms, d.state.value)
-                for d in departures
-                if d.is_in(by_id.get(d.server_id))
-            )
-            reply = messages.RowsSaved(self._peers.own_address, saved)
-            stream.send(messages.encode(reply))
+        # A save that had begun before a question came does not answer it.
+        open_questions = []
+        for question in self._asked:
+            if question.departure.is_in(
+                by_id.get(question.departure.server_id)
+            ):
+                self._confirm(question)
+            else:
+                open_questions.append(question)
+        self._asked = open_questions
+        if open_questions:
+            self._commit_soon()
+
+    def _confirm(self, question: "_Question") -> None:
+        departure = question.departure
+        saved = (
+            departure.server_id,
+            departure.started_ms,
+            departure.state.value,
+        )
+        reply = messages.RowsSaved(self._peers.own_address, (saved,))
+        question.stream.send(messages.encode(reply))
 
     # News.
 
--- a/auburnway/registrar/departures.py
+++ b/auburnway/registrar/departures.py
@@ -106,6 +106,12 @@
         """
         for departure in departures:
             self._holders.setdefault(departure, set()).add(holder)
+            if departure.state is server_table.State.ENDED:
+                # A server that has ended does not get requests either.
+                drained = dataclasses.replace(
+                    departure, state=server_table.State.DRAINING
+                )
+                self._holders.setdefault(drained, set()).add(holder)
         self._finish(
             lambda waiter: (
                 len(self._holders.get(waiter.departure, ())) >= copies
--- a/auburnway/registrar/departures_test.py
+++ b/auburnway/registrar/departures_test.py
@@ -37,6 +37,15 @@
     assert results == [True]
 
 
+def test_saved_end_acknowledges_a_drain_too():
+    # Guards against refusing a late heartbeat of a server that has ended.
+    departures, results = departures_lib.Departures(), []
+    departures.wait(DRAINING, COPIES, DEADLINE_MS, results.append)
+    for holder in ("a", "b"):
+        departures.on_saved(holder, [ENDED], COPIES)
+    assert results == [True]
+
+
 def test_departure_without_enough_disks_is_refused_in_time():
     # Guards against servers that wait for an instance that cannot acknowledge.
     departures, results = departures_lib.Departures(), []
