Judge what a connection costs by the pieces of one read

Cause, read in the code and shown by a test: ReadSize scaled the pieces of a read to a full block by the size that was asked for, not by what came. A request of 500 bytes with ten headers counted as 384 pieces, more than the 256 allowed, so each ordinary request was held back for a turn and every connection got short reads.

Change: a read is costly with more than 128 pieces, whatever its size. Ordinary headers have about 70 in a short read, empty ones 500.

--- a/auburnway/net/parse_limit.py
+++ b/auburnway/net/parse_limit.py
@@ -5,9 +5,9 @@
 block take a hundred times its size, and the time of all other connections.
 """
 
-# Pieces that one connection may have parsed in a turn of the loop before its
-# next reads become short.
-PIECES_PER_TURN = 256
+# Pieces that one read may hold. Ordinary headers have about 70 in a short read,
+# and empty ones 500.
+PIECES_PER_READ = 128
 # Size of a short read.
 SHORT_READ_BYTES = 2_048
 
@@ -30,24 +30,21 @@
       pieces: Pieces that were parsed since the last read; counted by the owner.
     """
 
-    __slots__ = ("_full_bytes", "_read_bytes", "pieces")
+    __slots__ = ("_full_bytes", "_is_first", "pieces")
 
     def __init__(self, full_bytes: int):
         self._full_bytes = full_bytes
-        self._read_bytes = 0
+        self._is_first = True
         self.pieces = 0
 
     @property
     def is_costly(self) -> bool:
-        """Whether a full block of what was read last holds many pieces."""
-        if not self._read_bytes:
-            return False
-        pieces = self.pieces * self._full_bytes // self._read_bytes
-        return pieces > PIECES_PER_TURN
+        """Whether the last read held too many pieces."""
+        return self.pieces > PIECES_PER_READ
 
     def next_bytes(self) -> int:
         """Returns the size of the next read, which begins now."""
-        is_short = not self._read_bytes or self.is_costly
-        self._read_bytes = SHORT_READ_BYTES if is_short else self._full_bytes
+        is_short = self._is_first or self.is_costly
+        self._is_first = False
         self.pieces = 0
-        return self._read_bytes
+        return SHORT_READ_BYTES if is_short else self._full_bytes
