Free the bytes of closed connections in the product's own mode too

Cause: http_client uses the same reader of replies, which refers to its parser and it to the reader; what a closed connection had received stayed until the cycle collector ran.

Change: the pool closes a reader with its connection and after a reply.

Evidence: http_client_test failed before (the parser of a closed connection was still there) and passes. The memory of an entry of the own mode under floods was not measured.

--- a/auburnway/net/http_client.py
+++ b/auburnway/net/http_client.py
@@ -180,6 +180,7 @@
             self.timer.cancel()
             self.timer = None
         self.pool.held_bytes -= self._reader.held_bytes
+        self._reader.close()
         self._reader = reply_reader.ReplyReader(self.pool.limits)
         self.state = _State.IDLE
         self.last_reply_ms = self.pool.clock.now_ms()
@@ -221,6 +222,7 @@
         if self.timer is not None:
             self.timer.cancel()
         self.pool.held_bytes -= self._reader.held_bytes
+        self._reader.close()
         self.pool.remove_connection(self)
         self.sock.close()
         if exchange is not None:
--- a/auburnway/net/http_client_test.py
+++ b/auburnway/net/http_client_test.py
@@ -1,6 +1,8 @@
+import gc
 import socket
 import threading
 import time
+import weakref
 
 import pytest
 
@@ -9,6 +11,7 @@
 from auburnway.kernel import process
 from auburnway.net import exchange as exchange_lib
 from auburnway.net import http_client
+from auburnway.net import reply_reader
 
 TIMEOUT_S = 10.0
 OK_REPLY = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
@@ -263,3 +266,30 @@
     assert (result.status, result.body) == (0, b"")
     assert result.failure is exchange_lib.Failure.CONNECTION_LOST
     server.close()
+
+
+def test_bytes_of_ended_exchanges_are_freed_at_once(harness, monkeypatch):
+    # Guards against the bytes of closed connections that stay in memory until
+    # the cycle collector runs.
+    readers = []
+
+    class WatchedReader(reply_reader.ReplyReader):
+        def __init__(self, limits):
+            super().__init__(limits)
+            readers.append(weakref.ref(self))
+
+    monkeypatch.setattr(reply_reader, "ReplyReader", WatchedReader)
+    server = FakeServer(lambda connection_number, request_bytes: OK_REPLY[:-1])
+    server.closes_after_reply = True
+    gc.disable()
+    try:
+        reply = harness.send(server.address)
+        assert reply.failure is not None
+        harness.on_loop(lambda: None)
+        # An ended exchange may still refer to its connection and its reader.
+        for reader in readers:
+            assert reader() is None or reader()._parser is None
+    finally:
+        gc.enable()
+        server.close()
+    assert readers
