--- a/auburnway/faults/relay.py
+++ b/auburnway/faults/relay.py
@@ -51,6 +51,10 @@
             thread.join()
         self._stack.close()
 
+    def refuse(self) -> None:
+        """Accepts no more connections, as after the end of the target."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+
     def reset(self) -> None:
         """Resets all open connections, within `POLL_S`."""
         for open_socket in tuple(self._sockets):
@@ -77,6 +81,8 @@
                 client_socket, _ = self._listener.accept()
             except TimeoutError:
                 continue
+            except OSError:
+                return
             try:
                 target_socket = socket.create_connection(self._target, 1.0)
             except OSError:
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -78,6 +78,7 @@
       faulty_reply: What is sent in place of a reply; None to reply properly.
       crashes_on: Body of the requests that end the server; None for none.
       has_crashed: Whether the server has ended.
+      on_crash: Called when the server ends.
       requests: Id, path and headers of each executed request.
       runs: Id and monotonic time in s of each executed request.
       cancelled: Ids of the requests that were cancelled while executing.
@@ -98,6 +99,7 @@
         self.faulty_reply: FaultyReply | None = None
         self.crashes_on: bytes | None = None
         self.has_crashed = False
+        self.on_crash = lambda: None
         self._connections = set()
         self.requests = []
         self.runs = []
@@ -167,6 +169,7 @@
     def _crash(self):
         """Ends the server as the end of its process would."""
         self.has_crashed = True
+        self.on_crash()
         # A close would take effect only when no thread waits for the socket.
         self._server.socket.shutdown(socket.SHUT_RDWR)
         for connection in tuple(self._connections):
--- a/auburnway/soak/checks.py
+++ b/auburnway/soak/checks.py
@@ -11,6 +11,11 @@
 # Seconds after the acknowledgement of its drain from which a backend server
 # must get no new request.
 DRAIN_GRACE_S = 3.0
+# A crashing request may be retried this often later than so many seconds after
+# its third crash.
+CRASHES_NOTICED = 3
+CRASH_NOTICE_S = 4.0
+MAX_CRASHING_RETRIES = 3
 # Rate limits are checked over spans of this length, and hold this long after
 # they are stated first.
 LIMIT_SPAN_S = 4.0
@@ -114,6 +119,7 @@
         entry index, start and end.
       restart_spans: Periods in which an entry was stopped and started again.
       limits: Rate limits that backend servers stated.
+      crashing_ids: Ids of the requests that end each server that runs them.
     """
 
     calls: tuple[Call, ...]
@@ -130,6 +136,7 @@
     fault_spans: tuple[tuple[int, float, float], ...] = ()
     restart_spans: tuple[tuple[int, float, float], ...] = ()
     limits: tuple[Limit, ...] = ()
+    crashing_ids: frozenset[str] = frozenset()
 
 
 def violations(observations: Observations) -> tuple[str, ...]:
@@ -141,6 +148,7 @@
         *_check_configuration_reads(observations),
         *_check_cut_off(observations),
         *_check_limits(observations),
+        *_check_crashing_requests(observations),
     )
 
 
@@ -272,3 +280,23 @@
                     f"a limit of {limit.limit_per_s}/s: {count} requests in"
                     f" {LIMIT_SPAN_S} s, {allowed} are allowed"
                 )
+
+
+def _check_crashing_requests(observations: Observations):
+    crashes = sorted(
+        (run.at_s, run.request_id)
+        for run in observations.runs
+        if run.request_id in observations.crashing_ids
+    )
+    if len(crashes) < CRASHES_NOTICED:
+        return
+    noticed_s = crashes[CRASHES_NOTICED - 1][0] + CRASH_NOTICE_S
+    seen_ids, retries = set(), 0
+    for at_s, request_id in crashes:
+        retries += request_id in seen_ids and at_s > noticed_s
+        seen_ids.add(request_id)
+    if retries > MAX_CRASHING_RETRIES:
+        yield (
+            f"{retries} late retries of a crashing request,"
+            f" {len(crashes)} crashes"
+        )
--- a/auburnway/soak/checks_test.py
+++ b/auburnway/soak/checks_test.py
@@ -127,3 +127,28 @@
     assert len(_limited(18)) == 1
     assert _limited(17) == ()
     assert _limited(18, restart_s=9.0) == ()
+
+
+def _crashes(times_s):
+    runs = tuple(
+        checks.Run(f"c{n // 2}", f"solo-{n}", at_s)
+        for n, at_s in enumerate(times_s)
+    )
+    calls = tuple(
+        dataclasses.replace(
+            SAFE, request_id=f"c{n}", status=502, signatures=(), body=b""
+        )
+        for n in range(len(times_s))
+    )
+    return violations_with(
+        calls=calls,
+        runs=runs,
+        crashing_ids=frozenset(call.request_id for call in calls),
+    )
+
+
+def test_late_retries_of_a_crashing_request():
+    # Each request is sent and retried 0.1 s later, which counts once noticed.
+    assert len(_crashes([t + d for t in range(20) for d in (0.0, 0.1)])) == 1
+    assert _crashes([t + d for t in range(8) for d in (0.0, 0.1)]) == ()
+    assert _crashes([float(t) for t in range(8)]) == ()
--- a/auburnway/soak/environment.py
+++ b/auburnway/soak/environment.py
@@ -1,18 +1,18 @@
 """Processes, backend servers and relays of a soak run, and their faults."""
 
 import contextlib
-import functools
 import http.client
 import pathlib
+import random
 import shutil
 import signal
-import subprocess
 import threading
 import time
 
 from auburnway.faults import relay as relay_lib
 from auburnway.platform import testing
 from auburnway.soak import checks
+from auburnway.soak import fault_runner
 from auburnway.soak import operator as operator_lib
 from auburnway.soak import plan
 
@@ -25,33 +25,15 @@
 FIRST_VERSION = 3
 MAX_GATHERED_RECORDS = 3
 HEARTBEAT_INTERVAL_S = 0.4
-RELAY_DELAY_S = 0.2
 TORN_BYTES = b"\x01torn"
+CRASHING_BODY = b"crash"
+# Time after which a crashed server is replaced.
+CRASHED_DOWN_S = 2.0
+# Time in which the last heartbeat of a server arrives everywhere.
+LAST_HEARTBEAT_S = 1.2
 # Time between the acknowledgement of a drain and the last heartbeat of the
 # server.
 DRAIN_STOP_DELAY_S = checks.DRAIN_GRACE_S + 0.5
-STOP_TIMEOUT_S = 8.0
-LIMIT_PER_S = 3.0
-REPORT_HEADERS = {
-    "limit": {"Server-Limit": str(LIMIT_PER_S)},
-    "pause": {"Retry-After": "1.5"},
-    "leaving": {"Server-Leaving": "1"},
-}
-FAULTY_REPLIES = {
-    "endless_head": testing.FaultyReply(
-        testing.REPLY_HEAD + b"A: ", b"a" * 65536
-    ),
-    "endless_body": testing.FaultyReply(
-        testing.REPLY_HEAD + b"\r\n", b"a" * 65536
-    ),
-    "slow_body": testing.FaultyReply(
-        testing.REPLY_HEAD + b"\r\n", b"a", gap_s=0.1
-    ),
-    "cut_head": testing.FaultyReply(testing.REPLY_HEAD[:-6]),
-    "cut_body": testing.FaultyReply(
-        testing.REPLY_HEAD + b"Content-Length: 64\r\n\r\nshort"
-    ),
-}
 
 
 class Server:
@@ -67,10 +49,12 @@
         self.backend = testing.Backend(
             name, service, records=server_records, started_ms=incarnation
         )
+        self.backend.crashes_on = CRASHING_BODY
         self.records = tuple(server_records)
         self.relay = environment.stack.enter_context(
             relay_lib.Relay(self.backend.address)
         )
+        self.backend.on_crash = self.relay.refuse
         environment.stack.callback(self.backend.close)
         self.sends_heartbeats = True
 
@@ -80,17 +64,28 @@
         Returns:
           Whether a control instance accepted the heartbeat.
         """
-        for machine in controls:
-            address = f"{machine.ip}:{testing.Platform.CONTROL_PORT}"
-            try:
-                status = self.backend.send_heartbeat(
-                    address, Address=self.relay.address
-                )
-            except (OSError, http.client.HTTPException):
-                continue
-            if status == 200:
-                return True
-        return False
+        return _call_any(
+            controls,
+            lambda address: self.backend.send_heartbeat(
+                address, Address=self.relay.address
+            ),
+        )
+
+    def send_stop(self, controls) -> bool:
+        """Deregisters the server; returns whether that was acknowledged."""
+        return _call_any(controls, self.backend.send_stop)
+
+
+def _call_any(controls, call) -> bool:
+    """Makes a call to one control instance after another until it succeeds."""
+    for machine in controls:
+        try:
+            status = call(f"{machine.ip}:{testing.Platform.CONTROL_PORT}")
+        except (OSError, http.client.HTTPException):
+            continue
+        if status == 200:
+            return True
+    return False
 
 
 class Environment:
@@ -114,6 +109,7 @@
         entry index, start and end.
       restart_spans: Periods of planned restarts of entries, in the same form.
       limits: Rate limits that backend servers stated.
+      crashing_calls: Requests that end each server that runs them.
       servers: Current backend servers; a fault addresses them by index.
     """
 
@@ -131,6 +127,7 @@
         self.fault_spans: list[tuple[int, float, float]] = []
         self.restart_spans: list[tuple[int, float, float]] = []
         self.limits: list[checks.Limit] = []
+        self.crashing_calls: list[checks.Call] = []
         self._folder = folder
         self._server_count = 0
         self._locks = {
@@ -187,7 +184,7 @@
     def apply_fault(self, fault: plan.Fault) -> None:
         """Injects a fault and reverts it; blocks until the fault is over."""
         try:
-            _run_fault(fault, self)
+            fault_runner.run(fault, self)
         except Exception as error:
             # Each fault runs on its own thread, where an exception would not
             # be noticed.
@@ -273,6 +270,74 @@
         time.sleep(DRAIN_STOP_DELAY_S)
         old_server.sends_heartbeats = False
 
+    def leave_and_lose_all(self, fault: plan.DepartAndLoseAll) -> None:
+        """Lets a server leave, and kills all processes right after it."""
+        with contextlib.ExitStack() as stack:
+            machines = [
+                stack.enter_context(self.lock_for_fault(role, index))
+                for role, index in self._locks
+            ]
+            old_server = self.servers[fault.index]
+            self.servers[fault.index] = self._new_server(
+                old_server.backend.service
+            )
+            self.servers[fault.index].send_heartbeat(self.platform.controls)
+            if fault.way == "draining":
+                old_server.backend.state = "draining"
+                is_known = old_server.send_heartbeat(self.platform.controls)
+            else:
+                old_server.sends_heartbeats = False
+                time.sleep(LAST_HEARTBEAT_S)
+                is_known = old_server.send_stop(self.platform.controls)
+            if is_known:
+                self.drains[old_server.backend.server_id] = time.monotonic()
+            time.sleep(fault.kill_after_s)
+            for machine in machines:
+                machine.send_signal(signal.SIGKILL)
+            for machine in machines:
+                machine.kill()
+            time.sleep(fault.down_s)
+            for machine in machines:
+                machine.start()
+        if fault.way == "draining":
+            time.sleep(DRAIN_STOP_DELAY_S)
+            old_server.sends_heartbeats = False
+
+    def send_crashing(self, fault: plan.SendCrashing) -> None:
+        """Sends a request that crashes its servers; replaces these."""
+        rng = random.Random(fault.seed)
+        end_s = time.monotonic() + fault.for_s
+        while time.monotonic() < end_s:
+            entry = rng.randrange(ENTRY_COUNT)
+            request_id = f"crash-{len(self.crashing_calls)}"
+            sent_s = time.monotonic()
+            try:
+                status = self.platform.request(
+                    fault.path, entry, "POST", CRASHING_BODY,
+                    Request_Id=request_id,
+                )[0]  # fmt: skip
+            except (OSError, http.client.HTTPException):
+                status = 0
+            kind = "unsafe" if fault.path.startswith("/unsafe") else "safe"
+            self.crashing_calls.append(
+                checks.Call(
+                    request_id, kind, entry, sent_s, time.monotonic(), status
+                )
+            )
+            self._replace_crashed()
+            time.sleep(fault.gap_s)
+        time.sleep(CRASHED_DOWN_S)
+        self._replace_crashed()
+
+    def _replace_crashed(self) -> None:
+        for index, server in enumerate(self.servers):
+            if not server.backend.has_crashed:
+                continue
+            server.sends_heartbeats = False
+            crashed_s = server.backend.runs[-1][1]
+            if time.monotonic() > crashed_s + CRASHED_DOWN_S:
+                self.servers[index] = self._new_server(server.backend.service)
+
     def observations(self, calls) -> checks.Observations:
         """Returns the observations of the run.
 
@@ -281,7 +346,7 @@
         """
         backends = [server.backend for server in self._all_servers]
         return checks.Observations(
-            tuple(calls),
+            (*calls, *self.crashing_calls),
             tuple(
                 checks.Run(request_id, backend.server_id, at_s)
                 for backend in backends
@@ -297,127 +362,5 @@
             tuple(self.fault_spans),
             tuple(self.restart_spans),
             tuple(self.limits),
+            frozenset(call.request_id for call in self.crashing_calls),
         )
-
-
-@functools.singledispatch
-def _run_fault(fault, environment: Environment) -> None:
-    raise TypeError(f"unknown fault: {fault!r}")
-
-
-@_run_fault.register
-def _(fault: plan.Kill, environment: Environment) -> None:
-    with environment.lock_for_fault(fault.role, fault.index) as machine:
-        machine.kill()
-        time.sleep(fault.down_s)
-        machine.start()
-
-
-@_run_fault.register
-def _(fault: plan.Freeze, environment: Environment) -> None:
-    with environment.lock_for_fault(fault.role, fault.index) as machine:
-        machine.send_signal(signal.SIGSTOP)
-        time.sleep(fault.for_s)
-        machine.send_signal(signal.SIGCONT)
-
-
-@_run_fault.register
-def _(fault: plan.Stop, environment: Environment) -> None:
-    with environment.lock_for_stop(fault.role, fault.index) as machine:
-        has_started = machine.has_started()
-        machine.send_signal()
-        try:
-            exit_code = machine.process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            exit_code = "no exit in time"
-            machine.kill()
-        # A process has no signal handler until it logs its first line; before
-        # that, any exit code is allowed.
-        if exit_code != 0 and has_started:
-            environment.failures.append(f"stop of {fault} failed: {exit_code}")
-        machine.start()
-
-
-@_run_fault.register
-def _(fault: plan.Reload, environment: Environment) -> None:
-    with environment.lock_for_stop(fault.role, fault.index) as machine:
-        # A process has no signal handler until it logs its first line.
-        if machine.process.poll() is None and machine.has_started():
-            machine.send_signal(signal.SIGHUP)
-
-
-@_run_fault.register
-def _(fault: plan.LoseDisk, environment: Environment) -> None:
-    with environment.lock_for_fault("control", fault.index) as machine:
-        machine.kill()
-        environment.restart_control(fault.index, with_disk=False)
-
-
-@_run_fault.register
-def _(fault: plan.TearLog, environment: Environment) -> None:
-    with environment.lock_for_fault("control", fault.index) as machine:
-        machine.kill()
-        environment.append_torn_write(fault.index)
-        environment.restart_control(fault.index, with_disk=True)
-
-
-@_run_fault.register
-def _(fault: plan.LinkFault, environment: Environment) -> None:
-    relay = environment.servers[fault.index].relay
-    if fault.effect == "reset":
-        relay.reset()
-        return
-    if fault.effect == "delay":
-        relay.delay_s = RELAY_DELAY_S
-    else:
-        setattr(relay, f"drops_{fault.effect}", True)
-    time.sleep(fault.for_s)
-    relay.delay_s = 0.0
-    relay.drops_requests = relay.drops_replies = False
-
-
-@_run_fault.register
-def _(fault: plan.Reject, environment: Environment) -> None:
-    backend = environment.servers[fault.index].backend
-    backend.rejects = True
-    time.sleep(fault.for_s)
-    backend.rejects = False
-
-
-@_run_fault.register
-def _(fault: plan.SendFaulty, environment: Environment) -> None:
-    backend = environment.servers[fault.index].backend
-    backend.faulty_reply = FAULTY_REPLIES[fault.form]
-    time.sleep(fault.for_s)
-    backend.faulty_reply = None
-
-
-@_run_fault.register
-def _(fault: plan.Report, environment: Environment) -> None:
-    backend = environment.servers[fault.index].backend
-    start_s = time.monotonic()
-    backend.advice = REPORT_HEADERS[fault.form]
-    backend.rejects = fault.form == "pause"
-    time.sleep(fault.for_s)
-    backend.advice, backend.rejects = {}, False
-    end_s = time.monotonic()
-    if fault.form == "leaving":
-        # Only a new start takes requests again.
-        backend.started_ms += 1
-    if fault.form == "limit":
-        arrivals_s = tuple(
-            t for t in backend.arrivals_s if start_s <= t <= end_s
-        )
-        environment.limits.append(
-            checks.Limit(LIMIT_PER_S, start_s, end_s, arrivals_s)
-        )
-
-
-@_run_fault.register
-def _(fault: plan.Drain, environment: Environment) -> None:
-    environment.replace_server(fault.index)
-
-
-@_run_fault.register
-def _(fault: plan.Change, environment: Environment) -> None:
-    environment.operator.request_change()
--- a/auburnway/soak/plan.py
+++ b/auburnway/soak/plan.py
@@ -15,17 +15,29 @@
 # Time without new faults at the end of a run, in which all services must
 # recover.
 FAULT_FREE_S = 12.0
-# Forms of bytes that are no reply: a head or a body without end, fast or slow,
-# and a head or a body that is cut.
+# Forms of bytes that are no reply: a head or a body without end, fast, slow or
+# in small pieces, and a head or a body that is cut.
 FAULTY_FORMS = (
     "endless_head",
     "endless_body",
     "slow_body",
     "cut_head",
     "cut_body",
+    "small_headers",
+    "small_chunks",
+    "other_replies",
 )
-# What a backend server may say of itself in its replies.
-REPORT_FORMS = ("limit", "pause", "leaving")
+# What a backend server may say of itself in its replies; the same limit in
+# several forms.
+REPORT_FORMS = (
+    "limit",
+    "pause",
+    "leaving",
+    "limit_of_many_digits",
+    "limit_with_exponent",
+)
+# Ways in which a backend server says that it leaves.
+DEPARTURE_WAYS = ("draining", "deregister")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,6 +149,40 @@
     index: int
 
 
+@dataclasses.dataclass(frozen=True)
+class DepartAndLoseAll:
+    """Kill of all processes right after a server's leaving is acknowledged.
+
+    Attributes:
+      index: Index of the backend server, which a new server replaces.
+      way: One of `DEPARTURE_WAYS`.
+      kill_after_s: Time from the acknowledgement to the kill.
+      down_s: Time from the kill to the restart.
+    """
+
+    index: int
+    way: str
+    kill_after_s: float
+    down_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class SendCrashing:
+    """A request that ends each server that runs it, sent again and again.
+
+    Attributes:
+      path: Path of the request.
+      for_s: Duration of the fault.
+      gap_s: Time between two sends, each to a random entry.
+      seed: Seed of the choice of entries.
+    """
+
+    path: str
+    for_s: float
+    gap_s: float
+    seed: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Change:
     """Write of the next configuration version by the operator."""
@@ -154,6 +200,8 @@
     | SendFaulty
     | Report
     | Drain
+    | DepartAndLoseAll
+    | SendCrashing
     | Change
 )
 
@@ -188,6 +236,8 @@
         *_server_faults(rng, end_s, servers),
         *_faulty_replies(rng, end_s, servers),
         *_reports(rng, end_s, servers),
+        *_losses_of_all(rng, end_s, servers),
+        *_crashing_requests(rng, end_s),
     ]
     return tuple(sorted(faults, key=lambda timed_fault: timed_fault.at_s))
 
@@ -289,3 +339,23 @@
         )
         for at_s in _random_times(rng, end_s, 1.0, 6.0)
     ]
+
+
+def _losses_of_all(rng, end_s, count):
+    fault = DepartAndLoseAll(
+        rng.randrange(count),
+        rng.choice(DEPARTURE_WAYS),
+        rng.choice((0.0, 0.02, 0.2)),
+        rng.uniform(0.1, 1.0),
+    )
+    return [TimedFault(rng.uniform(0.5, end_s), fault)]
+
+
+def _crashing_requests(rng, end_s):
+    fault = SendCrashing(
+        rng.choice(("/one/crash", "/unsafe/crash")),
+        rng.uniform(6.0, 10.0),
+        rng.uniform(0.2, 1.0),
+        rng.randrange(1 << 30),
+    )
+    return [TimedFault(rng.uniform(0.5, end_s / 2), fault)]
