Tell entries only of requests that are quarantined

Found while the diff was read: a request that ran on a lost server and succeeded elsewhere is cleared, and each control instance told all entries so, although they had not heard of its single strike. And a pool that closes reported the servers that it was checking as gone.

Change: only the end of a quarantine is told; a closing pool reports nothing.

--- a/auburnway/gateway/crash_guard.py
+++ b/auburnway/gateway/crash_guard.py
@@ -114,7 +114,7 @@
         """Records that a server has run a request and is still there."""
         for keys in self._suspects.values():
             keys.discard(key)
-        if self._containment.clear(key):
+        if self._containment.clear(key) is not None:
             self._feed.send_to_all(messages.Cleared(key))
 
     # Trials.
--- a/auburnway/net/web_client.py
+++ b/auburnway/net/web_client.py
@@ -174,6 +174,7 @@
         self._sweep_timer.cancel()
         for server in tuple(self._servers.values()):
             for connection in tuple(server.connections):
+                connection.on_connected = lambda _: None
                 connection.close(_LOST)
 
     def limit_held_bytes(self) -> None:
--- a/auburnway/net/web_client_test.py
+++ b/auburnway/net/web_client_test.py
@@ -215,3 +215,30 @@
     peer.sendall(make_reply(b"a", b"first") + b"HTTP/1.1 20")
     assert harness.result().body == b"first"
     assert harness.pool.connection_count() == 0
+
+
+def test_check_finds_out_whether_a_server_accepts_connections(harness):
+    # Guards against taking a lost connection for a lost server.
+    results = []
+    harness.pool.check(harness.address, results.append)
+    harness.run_until(lambda: results)
+    assert results == [True]
+    # The connection is used for the next request.
+    harness.send(b"a")
+    assert harness.pool.opened_count == 1
+
+
+def test_check_of_a_server_that_is_gone(harness):
+    results = []
+    harness.listener.close()
+    harness.pool.check(harness.address, results.append)
+    harness.run_until(lambda: results)
+    assert results == [False]
+
+
+def test_check_ends_without_a_result_when_the_pool_closes(harness):
+    # Guards against strikes because the entry itself stops.
+    results = []
+    harness.pool.check(harness.address, results.append)
+    harness.pool.close()
+    assert results == []
--- a/auburnway/policy/crash_containment.py
+++ b/auburnway/policy/crash_containment.py
@@ -145,13 +145,13 @@
         self._put(key, Record(strikes, last_strike_ms, servers))
         return True
 
-    def clear(self, key: bytes) -> bool:
+    def clear(self, key: bytes) -> Record | None:
         """Removes the strikes of a request that a server has survived.
 
         Returns:
-          Whether it had any.
+          The record that was removed; None if it had no strikes.
         """
-        return self._records.pop(key, None) is not None
+        return self._records.pop(key, None)
 
     def state(self, key: bytes, now_ms: float) -> State:
         """Returns what may be done with a request now."""
--- a/auburnway/registrar/crash_reports.py
+++ b/auburnway/registrar/crash_reports.py
@@ -52,9 +52,11 @@
 
     def on_cleared(self, message: messages.Cleared) -> None:
         """Ends the quarantine of a request that a server has survived."""
-        if self._containment.clear(message.key):
+        record = self._containment.clear(message.key)
+        # Other entries do not know of a single strike.
+        if record is not None and record.is_quarantined:
             loguru.logger.bind(fingerprint=message.key.hex()).info(
-                "a request with strikes is cleared"
+                "a quarantined request is cleared"
             )
             self._entries.push(message)
 
