Let the state of a server's start only advance when rows are merged

Cause: heartbeats that change nothing are not relayed, so instances hold different sequence numbers of one server. The end got the number of the instance that heard of it plus one, and Table.put dropped it as old where a later heartbeat had arrived.

Change: server_table.merge, a function of two rows that does not depend on order or repetition: the later start wins, then the greater sequence, but the state of a start only advances. A late heartbeat of an ended server does not count as heard.

--- a/auburnway/core/server_table.py
+++ b/auburnway/core/server_table.py
@@ -1,9 +1,12 @@
 """Table of the backend servers that register by heartbeat.
 
 Each control instance and each entry holds a table. Tables are merged row by
-row: the row of the latest start wins, and among rows of the same start the one
-with the greatest sequence. The row of an ended server stays as a tombstone for
-`TOMBSTONE_MS`, so that a late heartbeat does not revive the server.
+row (`merge`): the row of the latest start wins. Of one start the greatest
+sequence decides, except for the state, which only advances: the news that a
+server ends need not come from the process with its last heartbeat, and a reply
+that says that it leaves has no sequence. The row of an ended server stays as a
+tombstone for `TOMBSTONE_MS`, so that a late heartbeat does not revive the
+server.
 
 Missing heartbeats are tracked apart from the rows. Each control instance
 reports whether it receives heartbeats of a server. A server counts as silent
@@ -41,6 +44,10 @@
     ENDED = "ended"
 
 
+# States of one start, in the order in which it passes through them.
+_STATE_ORDER = {State.READY: 0, State.DRAINING: 1, State.ENDED: 2}
+
+
 @dataclasses.dataclass(frozen=True)
 class Row:
     """One start of a backend server.
@@ -71,9 +78,26 @@
 
     @property
     def version(self) -> tuple[int, int]:
-        """Version that orders the rows of one server."""
+        """Version that orders the heartbeats of one server."""
         return (self.started_ms, self.sequence)
 
+    def has_reached(self, state: State) -> bool:
+        """Whether the start is in a state or beyond it."""
+        return _STATE_ORDER[self.state] >= _STATE_ORDER[state]
+
+
+def merge(first: Row, second: Row) -> Row:
+    """Returns what two rows of one server say together.
+
+    The result does not depend on the order in which rows are merged, nor on
+    how often one is.
+    """
+    if first.started_ms != second.started_ms:
+        return max(first, second, key=lambda row: row.started_ms)
+    newest = max(first, second, key=lambda row: (row.version, _content(row)))
+    state = max(first.state, second.state, key=_STATE_ORDER.__getitem__)
+    return dataclasses.replace(newest, state=state)
+
 
 def check(row: Row) -> Row:
     """Returns the row if it describes a server that can be used.
@@ -183,24 +207,7 @@
         """
         current = self._rows.get(row.server_id)
         if current is not None:
-            is_same_start = row.started_ms == current.started_ms
-            if (
-                is_same_start
-                and row.state is State.DRAINING
-                and current.state is State.READY
-                and row.version < current.version
-            ):
-                # A server says that it drains in its replies too, which have
-                # no sequence, so a later heartbeat may have come first.
-                row = dataclasses.replace(current, state=State.DRAINING)
-            if row.version < current.version:
-                return False
-            if is_same_start and current.state is State.ENDED:
-                return False
-            # A draining server does not become ready again without a restart.
-            was_draining = current.state is State.DRAINING
-            if is_same_start and was_draining and row.state is State.READY:
-                row = dataclasses.replace(row, state=State.DRAINING)
+            row = merge(current, row)
         self._rows[row.server_id] = row
         changed = current is None or _relayed_fields(
             current
@@ -290,6 +297,10 @@
         return {service: tuple(rows) for service, rows in ready.items()}
 
 
+def _content(row: Row) -> tuple:
+    return (row.service, row.address, row.data_center, row.slots, row.cold_ms)
+
+
 def _relayed_fields(row: Row) -> tuple:
     return (
         row.started_ms,
--- a/auburnway/core/server_table_test.py
+++ b/auburnway/core/server_table_test.py
@@ -118,6 +118,39 @@
             assert not later
 
 
+@given(st.lists(rows, max_size=8), st.randoms())
+def test_tables_converge_whatever_the_order(merged, rng):
+    # Guards against instances that hold different rows for good after late,
+    # doubled and reordered heartbeats, and drop what each other says.
+    shuffled = [*merged, *merged]
+    rng.shuffle(shuffled)
+    first, second = table_of(*merged), table_of(*shuffled)
+    assert set(first.rows()) == set(second.rows())
+    assert first.digest() == second.digest()
+
+
+@given(st.lists(rows, max_size=8), rows)
+def test_ended_start_never_serves_again(merged, ended):
+    # Guards against a server that has ended and gets requests because another
+    # instance had its last heartbeat.
+    ended = dataclasses.replace(ended, state=ENDED)
+    table = table_of(*merged[:4], ended, *merged[4:])
+    served = [row for row in table.servers("s") if row.address == ROW.address]
+    for row in served:
+        is_same_server = row.server_id == ended.server_id
+        assert not is_same_server or row.started_ms > ended.started_ms
+
+
+def test_end_is_kept_and_relayed_beside_a_later_heartbeat():
+    # Heartbeats that change nothing are not relayed, so the instance that
+    # hears of the end may know an earlier one than others.
+    other = table_of(make_row(sequence=1))
+    ended = other.end(ROW.server_id, 0.0)
+    table = table_of(make_row(sequence=9))
+    assert table.put(ended, 0.0)
+    assert table.servers("s") == ()
+
+
 @given(rows)
 def test_wire_form(row):
     assert server_table.decode_row(server_table.encode_row(row)) == row
--- a/auburnway/registrar/backend_servers.py
+++ b/auburnway/registrar/backend_servers.py
@@ -113,9 +113,11 @@
                 sequence=row.sequence,
             ).info("backend server changed")
             self._push((row.server_id,))
-        if row.server_id not in self._last_heartbeat_ms:
-            self._entries.add_heard(row.server_id)
-        self._last_heartbeat_ms[row.server_id] = now_ms
+        # A late heartbeat of a server that has ended says nothing of it.
+        if self._table.get(row.server_id).state is not server_table.State.ENDED:
+            if row.server_id not in self._last_heartbeat_ms:
+                self._entries.add_heard(row.server_id)
+            self._last_heartbeat_ms[row.server_id] = now_ms
         if row.state is server_table.State.READY:
             on_reply(result.Success(None))
         else:
--- a/auburnway/registrar/departures.py
+++ b/auburnway/registrar/departures.py
@@ -16,12 +16,6 @@
 # Servers wait a second for an acknowledgement before they ask another instance.
 TIMEOUT_MS = 700.0
 
-_ORDER = {
-    server_table.State.READY: 0,
-    server_table.State.DRAINING: 1,
-    server_table.State.ENDED: 2,
-}
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Departure:
@@ -48,7 +42,7 @@
             return False
         if row.started_ms != self.started_ms:
             return row.started_ms > self.started_ms
-        return _ORDER[row.state] >= _ORDER[self.state]
+        return row.has_reached(self.state)
 
 
 @dataclasses.dataclass(slots=True)
