Ignore the offer of another protocol instead of dropping the body

Cause: httptools ends such a message after its headers and raises HttpParserUpgrade; the server queued the empty request and took the exception for an unreadable one.

Change: the head is parsed again without its Upgrade header, followed by the rest of the bytes. A request for a tunnel gets one 400 instead of two.

--- a/auburnway/net/client_connection.py
+++ b/auburnway/net/client_connection.py
@@ -191,6 +191,8 @@
 
     def on_headers_complete(self) -> None:
         """Refuses a body whose stated length exceeds the limit."""
+        if self._parser.should_upgrade():
+            return
         self._in_body = True
         expects_continue = False
         for name, value in self._headers:
@@ -218,6 +220,9 @@
         self._read_size.pieces += 1
         if self._error_status or not self.is_open:
             return
+        if self._parser.should_upgrade():
+            # The parser ends the message here, before its body.
+            return
         self._waiting.append(
             Request(
                 self,
@@ -266,10 +271,8 @@
             self.has_begun_request = True
             self.progress_due_ms = now_ms + limits.header_timeout_ms
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._error_status = self._error_status or 400
-        except ValueError:
+            self._parse(data)
+        except (httptools.HttpParserError, ValueError):
             self._error_status = self._error_status or 400
         self._dispatch_waiting()
         self.server.limit_held_bytes()
@@ -283,6 +286,42 @@
                 self.server.hold_back(self)
             self._update_mask()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses received bytes.
+
+        Raises:
+          HttpParserError, ValueError: They are no requests.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                data = self._head_without_offer() + data[offer.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
+    def _head_without_offer(self) -> bytes:
+        """Returns the head that was read last, as if it offered no upgrade.
+
+        A server may ignore an offer of another protocol; RFC 9110, section 7.8.
+
+        Raises:
+          ValueError: The request asks for a tunnel.
+        """
+        method = self._parser.get_method()
+        if method == b"CONNECT":
+            raise ValueError("a tunnel is not offered")
+        self._hold(-self._message_bytes)
+        self._message_bytes = 0
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (method, self._target, version)]
+        lines.extend(
+            b"%s: %s" % (name, value)
+            for name, value in self._headers
+            if name.lower() != b"upgrade"
+        )
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def read_on(self) -> None:
         """Reads again from a connection that was held back."""
         self.is_held_back = False
--- a/auburnway/net/web_server_test.py
+++ b/auburnway/net/web_server_test.py
@@ -337,3 +337,51 @@
     assert len(harness.requests) < 60
     client.settimeout(1.0)
     harness.read(client, b"HTTP/1.1 200 OK")
+
+
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("cut", [0, 10, 60, 95, 118])
+def test_request_that_offers_an_upgrade_keeps_its_body(harness, framing, cut):
+    # Guards against a request that runs without its body, and against a second
+    # answer that the client takes for that of its next request.
+    data = GET.replace(b"GET", b"POST")[:-2] + OFFER + framing
+    client = harness.connect(data[:cut])
+    client.sendall(data[cut:] + GET)
+    harness.run_until(lambda: harness.requests)
+    assert harness.requests[0].body == b"hello"
+    assert harness.requests[0].method == b"POST"
+    harness.requests[0].reply(200, (), b"first")
+    harness.run_until(lambda: len(harness.requests) == 2)
+    harness.requests[1].reply(200, (), b"second")
+    answers = harness.read(client, b"second")
+    assert answers.count(b"HTTP/1.1 200") == answers.count(b"HTTP/1.1") == 2
+    (connection,) = harness.server.connections
+    assert connection.held_bytes == 0
+
+
+def test_request_for_a_tunnel_is_refused_once(harness):
+    client = harness.connect(b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n" + GET)
+    answers = harness.read(client, b"\r\n\r\n")
+    assert answers.startswith(b"HTTP/1.1 400")
+    assert not harness.requests
+
+
+def test_offer_with_expected_continue_is_continued_once(harness):
+    client = harness.connect(
+        GET.replace(b"GET", b"POST")[:-2]
+        + OFFER
+        + b"Expect: 100-continue\r\nContent-Length: 5\r\n\r\n"
+    )
+    assert harness.read(client, b"\r\n\r\n").count(b"100 Continue") == 1
+    client.sendall(b"hello")
+    harness.run_until(lambda: harness.requests)
+    assert harness.requests[0].body == b"hello"
