Pass on no success that its server has not signed

What callers saw: a 2xx of a backend server without its signature reached the client as 200, also of a request that may not be repeated.

Cause: SingleRequest passed on whatever reply a sub-request ended with; only the retry looked at the signature.

Change: such a reply is answered 502 with the reason `unsigned_reply`. Parts of a gathered answer needed a signature before.

Evidence: sub_request_test failed for both kinds of routes (200 instead of 502) and passes.

--- a/auburnway/gateway/client_request.py
+++ b/auburnway/gateway/client_request.py
@@ -12,6 +12,7 @@
 from auburnway.gateway import dispatcher as dispatcher_lib
 from auburnway.gateway import merge
 from auburnway.gateway import sub_request as sub_request_lib
+from auburnway.net import web_connection
 
 # Hop-by-hop headers; RFC 9110, section 7.6.1.
 HOP_HEADERS = frozenset(
@@ -123,10 +124,18 @@
     return refusal(503, reason, stated_wait_ms(wait_ms, retry_after_ms(route)))
 
 
+def _is_unsigned_success(
+    reply: web_connection.Reply, signature_name: bytes
+) -> bool:
+    """Whether a reply looks like a success but nobody has signed it."""
+    return 200 <= reply.status < 300 and signature_name not in reply.fields
+
+
 class SingleRequest:
     """A request to one service, whose reply is returned to the client.
 
-    Status and body are unchanged; hop-by-hop headers are removed.
+    Status and body are unchanged; hop-by-hop headers are removed. A success
+    without a signature is not passed on: its sender may not be the server.
     """
 
     def __init__(
@@ -138,6 +147,7 @@
     ):
         self._context = context
         self._on_answer = on_answer
+        self._signature_name = dispatcher.signature_name
         self._sub_request = sub_request_lib.SubRequest(
             dispatcher, context, service, self._on_done
         )
@@ -182,6 +192,8 @@
         reply = sub_request.reply
         if reply is None:
             answer = self._answer_without_reply(sub_request)
+        elif _is_unsigned_success(reply, self._signature_name):
+            answer = refusal(502, "unsigned_reply")
         else:
             headers = tuple(
                 (name, value)
--- a/auburnway/gateway/dispatcher.py
+++ b/auburnway/gateway/dispatcher.py
@@ -124,6 +124,11 @@
         self._rng = random.Random(settings.name)
         loop.timers.every(STATS_CLEANUP_MS, self.remove_stale_stats)
 
+    @property
+    def signature_name(self) -> bytes:
+        """Name of the header with which servers sign their replies."""
+        return self._dialect.signature
+
     def remove_stale_stats(self) -> None:
         """Removes the measurements of servers that left the table."""
         stale_ids = [i for i in self._stats if self._feed.table.get(i) is None]
--- a/auburnway/gateway/sub_request_test.py
+++ b/auburnway/gateway/sub_request_test.py
@@ -367,3 +367,16 @@
                 harness.answer(call)
     # The server that rejects nothing has capacity for all requests.
     assert {answer.status for answer in harness.answers} == {200}
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+def test_success_without_a_signature_is_not_passed_on(is_repeatable):
+    # Guards against a body that no server vouches for and that looks whole.
+    harness = testing.GatewayHarness(
+        shards=("a",), is_repeatable=is_repeatable, gather=None
+    )
+    harness.single()
+    for call in harness.pool.sent:
+        harness.answer(call, signature=False)
+    (answer,) = harness.answers
+    assert (answer.status, answer.reason) == (502, "unsigned_reply")
