Take trailers of chunked messages for what they are

What callers saw: a trailer `Request-Id` replaced the id of the request, and a backend's trailers could replace its signature.

Cause: httptools reports headers and trailers by one callback, and both readers put them into one list.

Change: trailers count towards the limits and are dropped; RFC 9110, section 6.5.1, allows a recipient that does not know them to do so.

Evidence: reply_reader_test and web_server_test failed before and pass.

--- a/auburnway/net/client_connection.py
+++ b/auburnway/net/client_connection.py
@@ -140,6 +140,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._header_bytes = 0
+        self._field_count = 0
         self._in_body = False
 
     def _start_idle_timeout(self) -> None:
@@ -161,8 +162,10 @@
         self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header or a trailer."""
-        self._headers.append((name, value))
+        """Adds a header; a trailer only counts, as it is no header."""
+        if not self._in_body:
+            self._headers.append((name, value))
+        self._field_count += 1
         self._count_header(len(name) + len(value) + 4)
 
     def _count_header(self, size: int) -> None:
@@ -173,7 +176,7 @@
         limits = self.server.limits
         if (
             self._header_bytes > limits.header_bytes
-            or len(self._headers) > limits.header_count
+            or self._field_count > limits.header_count
         ):
             self._stop_parser(431)
 
--- a/auburnway/net/reply_reader.py
+++ b/auburnway/net/reply_reader.py
@@ -119,6 +119,7 @@
         self.is_in_message = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._field_bytes = 0
+        self._field_count = 0
         self._body = _Body()
         self._chunk_count = 0
         self._has_headers = False
@@ -203,13 +204,15 @@
             self._exceed("reply_count")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header or a trailer."""
-        self._headers.append((name, value))
+        """Adds a header; a trailer only counts, as it is no header."""
+        if not self._has_headers:
+            self._headers.append((name, value))
+        self._field_count += 1
         self.pieces += 1
         self._field_bytes += len(name) + len(value) + 4
         if self._field_bytes > self._limits.header_bytes:
             self._exceed("header_bytes")
-        if len(self._headers) > self._limits.header_count:
+        if self._field_count > self._limits.header_count:
             self._exceed("header_count")
 
     def on_headers_complete(self) -> None:
--- a/auburnway/net/reply_reader_test.py
+++ b/auburnway/net/reply_reader_test.py
@@ -172,3 +172,12 @@
         reader.feed(body[start : start + 1_000])
     (reply,) = reader.replies
     assert reply.body == body
+
+
+def test_trailers_are_no_headers():
+    # Guards against a trailer that replaces the signature or the id.
+    head = HEAD + b"Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    reader = read(head + b"1\r\nx\r\n0\r\nRequest-Id: b\r\n\r\n")
+    (reply,) = reader.replies
+    assert [v for n, v in reply.headers if n == b"Request-Id"] == [b"a"]
+    assert reply.body == b"x"
--- a/auburnway/net/web_server_test.py
+++ b/auburnway/net/web_server_test.py
@@ -385,3 +385,15 @@
     client.sendall(b"hello")
     harness.run_until(lambda: harness.requests)
     assert harness.requests[0].body == b"hello"
+
+
+def test_trailers_are_no_headers(harness):
+    # Guards against a trailer that replaces the id of the request.
+    harness.connect(
+        GET.replace(b"GET", b"POST")[:-2]
+        + b"Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n0\r\nRequest-Id: b\r\n\r\n"
+    )
+    harness.run_until(lambda: harness.requests)
+    assert harness.requests[0].fields[b"request-id"] == b"a"
+    assert harness.requests[0].body == b"x"
