--- a/auburnway/platform/crash_test.py
+++ b/auburnway/platform/crash_test.py
@@ -1,6 +1,5 @@
 """Tests that a crashing request costs few servers over all entries."""
 
-import os
 import time
 
 import pytest
@@ -20,9 +19,8 @@
 
 @pytest.fixture(name="platform")
 def _platform(tmp_path):
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
     platform = testing.Platform(
-        tmp_path, FIRST_SUBNET + int(worker), entries=ENTRIES
+        tmp_path, testing.worker_subnet(FIRST_SUBNET), entries=ENTRIES
     )
     try:
         assert platform.put_configuration(testing.configuration(1)) == 200
--- a/auburnway/platform/departure_test.py
+++ b/auburnway/platform/departure_test.py
@@ -1,7 +1,6 @@
 """Tests that an acknowledged stop or drain survives a loss of all processes."""
 
 import concurrent.futures
-import os
 import shutil
 import time
 
@@ -22,8 +21,9 @@
 
 @pytest.fixture(name="platform")
 def _platform(tmp_path):
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
-    platform = testing.Platform(tmp_path, FIRST_SUBNET + int(worker), entries=1)
+    platform = testing.Platform(
+        tmp_path, testing.worker_subnet(FIRST_SUBNET), entries=1
+    )
     try:
         assert platform.put_configuration(testing.configuration(1)) == 200
         platform.add_backend("solo-1", "solo")
--- a/auburnway/platform/endless_test.py
+++ b/auburnway/platform/endless_test.py
@@ -1,6 +1,5 @@
 """Tests that peers that send without end take little memory and time."""
 
-import os
 import pathlib
 import re
 import time
@@ -62,10 +61,9 @@
 
 @pytest.fixture(name="platform", scope="module")
 def _platform(tmp_path_factory):
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
     platform = testing.Platform(
         tmp_path_factory.mktemp("endless"),
-        FIRST_SUBNET + int(worker),
+        testing.worker_subnet(FIRST_SUBNET),
         controls=1,
         entries=1,
     )
--- a/auburnway/platform/server_report_test.py
+++ b/auburnway/platform/server_report_test.py
@@ -2,7 +2,6 @@
 
 import bisect
 import concurrent.futures
-import os
 import time
 
 import pytest
@@ -23,9 +22,8 @@
 
 @pytest.fixture(name="platform", scope="module")
 def _platform(tmp_path_factory):
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
     folder = tmp_path_factory.mktemp("reports")
-    subnet = FIRST_SUBNET + int(worker)
+    subnet = testing.worker_subnet(FIRST_SUBNET)
     platform = testing.Platform(folder, subnet, controls=1, entries=ENTRIES)
     try:
         assert platform.put_configuration(testing.configuration(3)) == 200
--- a/auburnway/platform/testing.py
+++ b/auburnway/platform/testing.py
@@ -22,6 +22,16 @@
 RECORDS = [bytes([65 + i]) * 16 for i in range(26)]
 
 
+def worker_subnet(first: int) -> int:
+    """Returns the third octet of the addresses of this pytest-xdist worker.
+
+    Args:
+      first: Third octet of the addresses of the first worker.
+    """
+    name = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
+    return first + int(name.removeprefix("gw"))
+
+
 def wait_until(condition, timeout_s=15.0):
     """Returns the first true result of `condition`; fails after `timeout_s`."""
     deadline_s = time.monotonic() + timeout_s
--- a/auburnway/platform/trouble_test.py
+++ b/auburnway/platform/trouble_test.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 import http.client
-import os
 import pathlib
 import re
 import socket
@@ -26,9 +25,8 @@
 
 @pytest.fixture(name="platform", scope="module")
 def _platform(tmp_path_factory):
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
     folder = tmp_path_factory.mktemp("trouble")
-    subnet = FIRST_SUBNET + int(worker)
+    subnet = testing.worker_subnet(FIRST_SUBNET)
     platform = testing.Platform(folder, subnet, controls=1, entries=3)
     try:
         configuration = testing.configuration(3, timeout_ms=6000)
--- a/auburnway/platform/whole_test.py
+++ b/auburnway/platform/whole_test.py
@@ -1,7 +1,6 @@
 """End-to-end tests of the real programs, called as the platform calls them."""
 
 import json
-import os
 import re
 import shutil
 import signal
@@ -26,9 +25,8 @@
 def _platform(tmp_path_factory):
     # Each worker of pytest-xdist that runs a test of this module has its own
     # platform, which needs addresses of its own.
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
     folder = tmp_path_factory.mktemp("platform")
-    platform = testing.Platform(folder, FIRST_SUBNET + int(worker))
+    platform = testing.Platform(folder, testing.worker_subnet(FIRST_SUBNET))
     try:
         assert platform.put_configuration(testing.configuration(3)) == 200
         platform.add_backend("solo-1", "solo")
