--- a/auburnway/soak/environment.py
+++ b/auburnway/soak/environment.py
@@ -54,10 +54,15 @@
         self.relay = environment.stack.enter_context(
             relay_lib.Relay(self.backend.address)
         )
-        self.backend.on_crash = self.relay.refuse
+        self.backend.on_crash = self._on_crash
         environment.stack.callback(self.backend.close)
         self.sends_heartbeats = True
 
+    def _on_crash(self) -> None:
+        # A proper end would complete a reply without a length.
+        self.relay.refuse()
+        self.relay.reset()
+
     def send_heartbeat(self, controls) -> bool:
         """Sends one heartbeat, to the first control instance that accepts it.
 
